--- /dev/null
+++ b/include/lacewingbeam/budget.hpp
@@ -0,0 +1,56 @@
+#ifndef LACEWINGBEAM_BUDGET_HPP
+#define LACEWINGBEAM_BUDGET_HPP
+
+#include "core.hpp"
+
+// Budgets that bound probes, retries and writes to the platform.
+namespace lacewingbeam {
+
+// Allows `rate` takes a second on average and `burst` at once. It starts
+// empty, so that an instance that restarts often gains nothing by it.
+class token_bucket {
+public:
+    token_bucket(double rate, double burst, time_point now);
+
+    // Takes one token if there is one.
+    bool try_take(time_point now);
+
+    // True if try_take would succeed.
+    bool has_token(time_point now);
+
+    // Changes the rate; tokens already gathered are kept.
+    void set_rate(double rate, time_point now);
+
+    double rate() const { return rate_; }
+
+private:
+    void refill(time_point now);
+
+    double rate_;
+    double burst_;
+    double tokens_ = 0;
+    time_point refilled_;
+};
+
+// Probes one instance may send to one backend server each second, such that
+// `max_instances` of them together stay within `share` of one slot's time.
+double probe_rate(duration probe_cost, double share, unsigned max_instances);
+
+// Allows extra attempts in proportion to calls: every call earns `percent`
+// of an attempt, up to `reserve` attempts at once.
+class attempt_budget {
+public:
+    attempt_budget(double percent, double reserve);
+
+    void on_call();
+    bool try_take();
+
+private:
+    double earned_per_call_;
+    double reserve_;
+    double balance_;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/include/lacewingbeam/coordinator.hpp
@@ -0,0 +1,298 @@
+#ifndef LACEWINGBEAM_COORDINATOR_HPP
+#define LACEWINGBEAM_COORDINATOR_HPP
+
+#include "claim_book.hpp"
+#include "core.hpp"
+#include "dispatcher.hpp"
+#include "membership.hpp"
+#include "operation_ledger.hpp"
+#include "peer_messages.hpp"
+#include "table.hpp"
+#include "ticket.hpp"
+#include "verdict.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+// All decisions of one instance: it takes events with their time and returns
+// the actions that the embedding program must carry out.
+namespace lacewingbeam {
+
+// A caller's request.
+struct arriving_call {
+    call_id id{};
+    std::string service;
+    std::string method;
+    std::string path;
+    std::string ticket;          // header text; empty if none
+    std::string idempotency_key; // empty if none
+    std::uint64_t fingerprint = 0; // hash of the request's content
+    std::optional<duration> time_left; // the caller's own deadline
+    bool forwarded = false; // by a peer; is never forwarded again
+};
+
+// Send the call to the instance that owns its operation and pass on its
+// answer.
+struct forward_call {
+    call_id call{};
+    incarnation owner;
+    std::string caller_address;
+    duration time_left{};
+};
+
+// Answer the call with what was recorded when its operation ran.
+struct replay_answer {
+    call_id call{};
+    recorded_answer answer;
+};
+
+// Insert these claims in one transaction of the platform's table service.
+struct write_claims {
+    claim_batch batch;
+};
+
+// Read the claim row of a key.
+struct read_claim {
+    std::string key;
+};
+
+// The answer of an operation, for the platform's journal.
+struct journal_entry {
+    operation_id operation;
+    recorded_answer answer;
+};
+
+// Write these entries in one transaction; a failure is not reported back.
+struct write_journal {
+    std::vector<journal_entry> entries;
+};
+
+// Look up an operation's answer in the journal.
+struct read_journal {
+    call_id call{};
+    operation_id operation;
+};
+
+// Ask the backend server for its load.
+struct probe_server {
+    server_key server;
+    std::string address;
+};
+
+struct send_message {
+    std::string peer_address;
+    peer_message message;
+};
+
+using action =
+    std::variant<start_attempt, cancel_attempt, deliver_answer, finish_call,
+                 forward_call, replay_answer, write_claims, read_claim,
+                 write_journal, read_journal, probe_server, send_message>;
+
+// How a forwarded call ended.
+struct forward_completed {};   // the owner's answer was passed on
+struct forward_unreachable {}; // no byte reached the owner
+struct forward_lost {};        // no whole answer came
+struct forward_refused {};     // the address now belongs to another life
+using forward_result = std::variant<forward_completed, forward_unreachable,
+                                    forward_lost, forward_refused>;
+
+// An entry of the platform's instance list.
+struct listed_instance {
+    std::string address;
+    bool is_peer = false; // one of ours; address is its peer exchange's
+    bool leaving = false;
+};
+
+struct coordinator_options {
+    dispatcher_options dispatch;
+    membership_options members;
+    ledger_limits ledger;
+    member own;
+    std::string key; // authenticates tickets
+    duration ticket_lifetime = std::chrono::seconds(60);
+    duration retention = std::chrono::seconds(600);
+    duration heartbeat_interval = std::chrono::milliseconds(500);
+    double writes_per_second = 10;
+    std::size_t max_calls = 4096;
+    std::uint64_t seed = 1;
+};
+
+struct instance_status {
+    bool ready = false;
+    bool stopping = false;
+    bool table_confirmed = false;
+    std::uint64_t table_version = 0;
+    duration table_age{};
+    std::size_t calls = 0;
+    std::size_t waiting = 0;
+    std::size_t operations = 0;
+    std::size_t active_instances = 0;
+};
+
+class coordinator {
+public:
+    using actions = std::vector<action>;
+
+    coordinator(coordinator_options options, time_point now);
+
+    // Callers.
+    actions on_call(const arriving_call& arriving, time_point now);
+    actions on_caller_gone(call_id id, time_point now);
+
+    // A fresh ticket; nothing while the instance is stopping.
+    std::optional<std::string> mint_ticket(time_point now);
+
+    // Attempts. `answer` is the whole answer where the attempt asked for it
+    // to be recorded and it was small enough.
+    actions on_head(attempt_id attempt, time_point now);
+    actions on_attempt_ended(attempt_id attempt, const attempt_result& result,
+                             std::optional<recorded_answer> answer,
+                             time_point now);
+
+    // Backend servers. `draining` is the server's own signal.
+    void on_report(const server_key& server, const load_report& report,
+                   bool draining, time_point now);
+    void on_probe_failed(const server_key& server, time_point now);
+
+    // Forwarded calls and the journal.
+    actions on_forward_ended(call_id id, const forward_result& result,
+                             time_point now);
+    actions on_journal(call_id id, std::optional<recorded_answer> answer,
+                       time_point now);
+
+    // Claims.
+    actions on_claims_committed(std::uint64_t batch, time_point now);
+    actions on_claims_conflict(std::uint64_t batch,
+                               std::span<const claim> existing, time_point now);
+    actions on_claims_unknown(std::uint64_t batch, time_point now);
+    actions on_claim_read(const std::string& key,
+                          const std::optional<claim>& row, time_point now);
+    actions on_claim_read_failed(const std::string& key, time_point now);
+
+    // The table and the instance list. `asked_at` is when the read was sent.
+    // Returns a message for each row that could not be read.
+    std::vector<std::string> on_table(std::span<const raw_row> rows,
+                                      std::uint64_t version,
+                                      time_point asked_at, time_point now);
+    void on_platform_failed(time_point now);
+    void on_instance_list(std::span<const listed_instance> list,
+                          time_point now);
+
+    // Peers.
+    actions on_message(const std::string& from, const peer_message& message,
+                       time_point now);
+    void set_seeds(std::span<const std::string> peer_addresses);
+
+    // Everything that is due. Call it every few milliseconds.
+    actions on_tick(time_point now);
+
+    // Stops taking new tickets and shows as leaving; calls are still served.
+    void begin_stop(time_point now);
+
+    // True once nothing is under way and no ticket can come any more.
+    bool may_exit(time_point now) const;
+
+    instance_status status(time_point now) const;
+    const table_view& table() const { return table_; }
+    dispatcher& servers() { return dispatcher_; }
+    const dispatcher& servers() const { return dispatcher_; }
+    std::vector<member> peers(time_point now) const;
+    const member& own() const { return membership_.own(); }
+
+private:
+    // A call that bears a ticket or key.
+    struct operation_call {
+        operation_id operation;
+        call dispatch;
+        bool owner = false; // this call's run decides the operation
+        bool forwarded = false;
+    };
+
+    void observe(time_point now);
+    bool is_unconfirmed(time_point now) const;
+    void confirm_table(time_point confirmed_at);
+    void take(dispatcher::actions decided, actions& out,
+              std::optional<recorded_answer> answer = std::nullopt);
+    void answer_waiter(call_id id, const verdict& outcome,
+                       const std::optional<recorded_answer>& answer,
+                       duration retry_after, actions& out);
+    void finish_operation(const operation_id& operation,
+                          const verdict& outcome,
+                          std::optional<recorded_answer> answer,
+                          duration retry_after, actions& out);
+    void begin_ticketed(const arriving_call& arriving, const call& dispatch,
+                        time_point now, actions& out);
+    void begin_keyed(const arriving_call& arriving, const call& dispatch,
+                     time_point now, actions& out);
+    begin_result begin_operation(const arriving_call& arriving,
+                                 const call& dispatch,
+                                 const operation_id& operation,
+                                 operation_lifetime lifetime, time_point now,
+                                 actions& out);
+    void forward_or_look_up(const operation_call& waiting,
+                            const incarnation& owner, time_point now,
+                            actions& out);
+    bool forward_to_share_holder(const arriving_call& arriving,
+                                 const call& dispatch, time_point now,
+                                 actions& out);
+    void settle_claims(const std::vector<claim_event>& events, time_point now,
+                       actions& out);
+    void on_claim_event(const claim_event& event, time_point now,
+                        actions& out);
+    void pump_claims(time_point now, actions& out);
+    void pump_journal(time_point now, actions& out);
+    void pump_probes(time_point now, actions& out);
+    void expire_waiters(time_point now, actions& out);
+    void send_heartbeats(time_point now, actions& out);
+    heartbeat make_heartbeat(time_point now);
+    void on_heartbeat(const std::string& from, const heartbeat& beat,
+                      time_point now, actions& out);
+    void note_peer_loads(const heartbeat& beat, time_point now);
+    void forget_peer_loads(const incarnation& peer);
+    std::optional<call> classify(const arriving_call& arriving,
+                                 time_point now, actions& out);
+    void after_table_change(time_point now);
+    duration table_age(time_point now) const;
+
+    coordinator_options options_;
+    random_engine engine_;
+    table_view table_;
+    dispatcher dispatcher_;
+    membership membership_;
+    operation_ledger ledger_;
+    claim_book claims_;
+    ticket_mint mint_;
+    token_bucket writes_;
+
+    struct forwarded_call {
+        operation_id operation;
+        time_point deadline;
+    };
+
+    std::map<call_id, operation_call> operations_;
+    std::map<call_id, forwarded_call> forwarded_;
+    std::map<std::string, call_id> claiming_; // key to the call that claims
+    std::deque<journal_entry> journal_;
+    std::map<incarnation, std::vector<server_load>> peer_loads_;
+    std::unordered_map<std::uint64_t, peer_load> load_sums_;
+    std::unordered_map<std::uint64_t, server_key> servers_by_hash_;
+    std::uint64_t heartbeat_sequence_ = 0;
+    time_point next_heartbeat_;
+    time_point next_housekeeping_;
+    time_point last_seen_;
+    std::optional<time_point> confirmed_at_;
+    std::optional<time_point> stopping_since_;
+    bool woke_up_ = false; // after a pause, nothing was confirmed yet
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/include/lacewingbeam/membership.hpp
@@ -0,0 +1,107 @@
+#ifndef LACEWINGBEAM_MEMBERSHIP_HPP
+#define LACEWINGBEAM_MEMBERSHIP_HPP
+
+#include "core.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+// Which instances are alive, from heartbeats, settings and the platform's
+// lagging list.
+namespace lacewingbeam {
+
+enum class member_state { alive, leaving, suspected };
+
+// An instance as its peers know it.
+struct member {
+    incarnation id;
+    std::string peer_address;   // IP:port of the peer exchange
+    std::string caller_address; // IP:port for callers and forwarded calls
+    std::string admin_address;  // IP:port of the admin API
+    std::string failure_domain;
+    member_state state = member_state::alive;
+    duration age{}; // time since it was last heard of
+};
+
+struct membership_options {
+    duration suspect_after = std::chrono::seconds(3);
+    duration gone_after = std::chrono::seconds(15);
+    std::size_t fan_out = 4;
+};
+
+class membership {
+public:
+    membership(member own, membership_options options);
+
+    // Addresses to contact while no instance there is known.
+    void set_seeds(std::span<const std::string> peer_addresses);
+
+    // The platform's list; lagging, so it only adds addresses to contact.
+    void set_listed(std::span<const std::string> peer_addresses);
+
+    // A peer's own heartbeat. False if it is older than one already seen.
+    bool on_heartbeat(const member& sender, std::uint64_t sequence,
+                      time_point now);
+
+    // What a peer says of others. Only makes unknown members contactable;
+    // nobody is believed alive on hearsay.
+    void on_hearsay(std::span<const member> members, time_point now);
+
+    // Drops members not heard of for long.
+    void expire(time_point now);
+
+    // Where to send this round's heartbeats: a bounded number of members,
+    // chosen at random, and one address where nobody is known yet.
+    std::vector<std::string> heartbeat_targets(random_engine& engine,
+                                               time_point now);
+
+    // A few members to tell peers about, the latest heard of first.
+    std::vector<member> digest(std::size_t limit, time_point now) const;
+
+    // The member with that incarnation, unless it is gone; one known only by
+    // hearsay shows as suspected.
+    std::optional<member> find(const incarnation& id, time_point now) const;
+
+    std::vector<member> members(time_point now) const;
+
+    // Instances that share work now: own one, and members that are neither
+    // leaving nor suspected.
+    std::size_t active_count(time_point now) const;
+
+    // Position of this instance among the active ones, in order of
+    // incarnation.
+    std::size_t own_rank(time_point now) const;
+
+    // True if peers are known and none was heard of lately.
+    bool cut_off(time_point now) const;
+
+    const member& own() const { return own_; }
+    void set_leaving() { own_.state = member_state::leaving; }
+
+private:
+    struct record {
+        member info;
+        std::uint64_t sequence = 0;
+        time_point heard_at;
+    };
+
+    member described(const record& value, time_point now) const;
+    bool is_active(const record& value, time_point now) const;
+    bool address_known(const std::string& peer_address) const;
+    std::vector<std::string> strangers() const;
+
+    member own_;
+    membership_options options_;
+    std::map<incarnation, record> records_;
+    std::vector<std::string> seeds_;
+    std::vector<std::string> listed_;
+    std::map<incarnation, record> hearsay_;
+    std::size_t next_contact_ = 0;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/include/lacewingbeam/operation_ledger.hpp
@@ -0,0 +1,124 @@
+#ifndef LACEWINGBEAM_OPERATION_LEDGER_HPP
+#define LACEWINGBEAM_OPERATION_LEDGER_HPP
+
+#include "core.hpp"
+#include "verdict.hpp"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+// Remembers what became of each operation, so that none runs twice.
+namespace lacewingbeam {
+
+// Names an operation among all instances.
+struct operation_id {
+    std::string text;
+
+    auto operator<=>(const operation_id&) const = default;
+};
+
+struct header_field {
+    std::string name;
+    std::string value;
+
+    bool operator==(const header_field&) const = default;
+};
+
+// A backend server's answer, kept for resends.
+struct recorded_answer {
+    int status = 0;
+    std::vector<header_field> headers;
+    std::string body;
+
+    bool operator==(const recorded_answer&) const = default;
+};
+
+// When an operation may start and how long it is remembered.
+struct operation_lifetime {
+    time_point start_before;
+    time_point forget_after;
+};
+
+struct ledger_limits {
+    std::size_t operations = 100000;
+    std::size_t answer_bytes = 32U << 20U; // over all recorded answers
+};
+
+// The holder may run the operation now and must call finish.
+struct may_start {};
+
+// The operation runs; finish will name this call among the waiting ones.
+struct wait_for_result {};
+
+// The operation ran; this is its answer.
+struct replay {
+    recorded_answer answer;
+};
+
+// The call ends at once with this verdict.
+struct answer_now {
+    verdict outcome;
+};
+
+using begin_result =
+    std::variant<may_start, wait_for_result, replay, answer_now>;
+
+class operation_ledger {
+public:
+    explicit operation_ledger(ledger_limits limits);
+
+    // A call asks to run the operation. `fingerprint` is a hash of the
+    // request; a resend with another one is refused.
+    begin_result begin(const operation_id& operation,
+                       std::uint64_t fingerprint, call_id call,
+                       operation_lifetime lifetime, time_point now);
+
+    // The run ended. not_run frees the operation for another start. Returns
+    // the calls that waited for the result.
+    std::vector<call_id> finish(const operation_id& operation,
+                                const verdict& outcome,
+                                std::optional<recorded_answer> answer);
+
+    // The call no longer waits.
+    void forget_waiter(const operation_id& operation, call_id call);
+
+    // Drops operations whose time is over.
+    void expire(time_point now);
+
+    // The answer of an operation that ran and is still kept.
+    const recorded_answer* find_answer(const operation_id& operation) const;
+
+    std::size_t size() const { return entries_.size(); }
+    std::size_t answer_bytes() const { return answer_bytes_; }
+
+private:
+    struct entry {
+        std::uint64_t fingerprint = 0;
+        time_point forget_after;
+        bool running = true;
+        std::vector<call_id> waiters;
+        verdict outcome = completed{};
+        std::optional<recorded_answer> answer;
+    };
+
+    begin_result begin_known(entry& known, std::uint64_t fingerprint,
+                             call_id call);
+    void keep_answer(entry& known, const operation_id& operation,
+                     recorded_answer answer);
+    void drop_answer(entry& known);
+
+    ledger_limits limits_;
+    std::unordered_map<std::string, entry> entries_;
+    std::deque<std::string> answered_; // oldest recorded answer first
+    std::deque<std::pair<time_point, std::string>> expiry_;
+    std::size_t answer_bytes_ = 0;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -0,0 +1,56 @@
+#ifndef LACEWINGBEAM_PEER_MESSAGES_HPP
+#define LACEWINGBEAM_PEER_MESSAGES_HPP
+
+#include "core.hpp"
+#include "membership.hpp"
+#include "table.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+// What instances tell each other.
+namespace lacewingbeam {
+
+// The sender's own requests in flight at one backend server.
+struct server_load {
+    std::uint64_t server_hash = 0;
+    unsigned in_flight = 0;
+    unsigned long_in_flight = 0;
+};
+
+// A backend server that is leaving, and how long ago that was last said.
+struct leaving_server {
+    server_key key;
+    duration age{};
+};
+
+// Sent to a few peers in each round.
+struct heartbeat {
+    member sender;
+    std::uint64_t sequence = 0;
+    std::uint64_t table_version = 0;
+    duration table_age{}; // since the table was confirmed by the platform
+    std::vector<server_load> loads;
+    std::vector<leaving_server> leaving;
+    std::vector<member> members;
+};
+
+// Asks a peer for table rows newer than the version held.
+struct table_request {
+    std::uint64_t have_version = 0;
+};
+
+// Answers table_request.
+struct table_rows {
+    std::uint64_t table_version = 0;
+    duration age{};
+    std::vector<raw_row> rows;
+};
+
+using peer_message = std::variant<heartbeat, table_request, table_rows>;
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/adapters/event_log.cpp
@@ -0,0 +1,139 @@
+#include "event_log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::array<event_description, 20> catalogue{{
+    {event_number::started, log_level::info, "started",
+     "The instance listens on its ports."},
+    {event_number::stopping, log_level::info, "stopping",
+     "SIGTERM arrived: readiness is red, work under way is finished."},
+    {event_number::stopped, log_level::info, "stopped",
+     "Nothing was left to do; the process ends."},
+    {event_number::start_failed, log_level::error, "start_failed",
+     "The instance could not start; the field reason says why."},
+    {event_number::table_changed, log_level::info, "table_changed",
+     "A newer version of the operators' table is in force."},
+    {event_number::table_row_rejected, log_level::warning,
+     "table_row_rejected",
+     "A row could not be read; its last good state stays in force."},
+    {event_number::platform_failed, log_level::warning, "platform_failed",
+     "The platform did not answer; the last known table stays in force."},
+    {event_number::platform_recovered, log_level::info, "platform_recovered",
+     "The platform answers again."},
+    {event_number::table_unconfirmed, log_level::error, "table_unconfirmed",
+     "Neither platform nor peers were heard: calls are refused as not run."},
+    {event_number::table_confirmed, log_level::info, "table_confirmed",
+     "The table was confirmed; calls are taken."},
+    {event_number::peer_joined, log_level::info, "peer_joined",
+     "A peer's heartbeat arrived for the first time."},
+    {event_number::peer_suspected, log_level::warning, "peer_suspected",
+     "A peer was silent for longer than suspect_after."},
+    {event_number::peer_gone, log_level::info, "peer_gone",
+     "A peer was silent for longer than gone_after, or was replaced."},
+    {event_number::peer_message_dropped, log_level::warning,
+     "peer_message_dropped",
+     "A message on the peer port was not authentic or not readable."},
+    {event_number::server_leaving, log_level::info, "server_leaving",
+     "A backend server is leaving and gets no new work."},
+    {event_number::call_may_have_run, log_level::warning, "call_may_have_run",
+     "A call ended without its answer; it may have run."},
+    {event_number::call_refused, log_level::debug, "call_refused",
+     "A call was answered as not run."},
+    {event_number::answer_broken_off, log_level::warning, "answer_broken_off",
+     "An answer that had begun could not be completed."},
+    {event_number::claim_write_unknown, log_level::warning,
+     "claim_write_unknown",
+     "No answer to a claim; the row is read back before anything runs."},
+    {event_number::journal_write_failed, log_level::warning,
+     "journal_write_failed",
+     "Recorded answers could not be written to the platform."},
+}};
+
+constexpr std::string_view quoted_characters = " \"=\n\r\t";
+
+const event_description& describe(event_number number) {
+    return *std::find_if(
+        catalogue.begin(), catalogue.end(),
+        [&](const auto& item) { return item.number == number; });
+}
+
+void append_value(std::string& line, std::string_view value) {
+    if (!value.empty() && value.find_first_of(quoted_characters) ==
+                              std::string_view::npos) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        const bool control = static_cast<unsigned char>(c) < ' ';
+        if (c == '"' || c == '\\') {
+            line += '\\';
+        }
+        line += control ? ' ' : c;
+    }
+    line += '"';
+}
+
+void disable(el::Configurations& configuration, el::Level level) {
+    configuration.set(level, el::ConfigurationType::Enabled, "false");
+}
+
+} // namespace
+
+std::span<const event_description> event_catalogue() { return catalogue; }
+
+void configure_log(std::string_view level) {
+    el::Configurations configuration;
+    configuration.setToDefault();
+    using type = el::ConfigurationType;
+    configuration.setGlobally(type::ToFile, "false");
+    configuration.setGlobally(type::ToStandardOutput, "true");
+    configuration.setGlobally(type::Format,
+                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+    if (level != "debug") {
+        disable(configuration, el::Level::Debug);
+    }
+    if (level == "warning" || level == "error") {
+        disable(configuration, el::Level::Info);
+    }
+    if (level == "error") {
+        disable(configuration, el::Level::Warning);
+    }
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+void log_event(event_number number, std::initializer_list<log_field> fields) {
+    const auto& event = describe(number);
+    std::string line = "LB" + std::to_string(static_cast<int>(number)) + " ";
+    line += event.name;
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        append_value(line, field.value);
+    }
+    switch (event.level) {
+    case log_level::debug:
+        LOG(DEBUG) << line;
+        break;
+    case log_level::info:
+        LOG(INFO) << line;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/adapters/event_log.hpp
@@ -0,0 +1,64 @@
+#ifndef LACEWINGBEAM_ADAPTERS_EVENT_LOG_HPP
+#define LACEWINGBEAM_ADAPTERS_EVENT_LOG_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+// Numbered log events, written through easylogging++ to standard error. The
+// catalogue is docs/EVENTS.md.
+namespace lacewingbeam {
+
+enum class log_level { debug, info, warning, error };
+
+// The numbers are for good: one that is no longer used is not given again.
+enum class event_number {
+    started = 1001,
+    stopping = 1002,
+    stopped = 1003,
+    start_failed = 1004,
+    table_changed = 1101,
+    table_row_rejected = 1102,
+    platform_failed = 1103,
+    platform_recovered = 1104,
+    table_unconfirmed = 1105,
+    table_confirmed = 1106,
+    peer_joined = 1201,
+    peer_suspected = 1202,
+    peer_gone = 1203,
+    peer_message_dropped = 1204,
+    server_leaving = 1301,
+    call_may_have_run = 1401,
+    call_refused = 1402,
+    answer_broken_off = 1403,
+    claim_write_unknown = 1501,
+    journal_write_failed = 1502,
+};
+
+// How an event appears in the log.
+struct event_description {
+    event_number number;
+    log_level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+// Every event, in order of number.
+std::span<const event_description> event_catalogue();
+
+struct log_field {
+    std::string_view name;
+    std::string value;
+};
+
+// Sets the least level that is written: debug, info, warning or error.
+void configure_log(std::string_view level);
+
+// Writes one line: time, level, number, name and fields as name=value.
+void log_event(event_number number, std::initializer_list<log_field> fields);
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/adapters/http_listener.cpp
@@ -0,0 +1,229 @@
+#include "http_listener.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr int allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                EVHTTP_REQ_PATCH;
+
+struct buffer_deleter {
+    void operator()(evbuffer* value) const { evbuffer_free(value); }
+};
+using buffer_handle = std::unique_ptr<evbuffer, buffer_deleter>;
+
+buffer_handle make_buffer(std::string_view content) {
+    buffer_handle buffer(evbuffer_new());
+    evbuffer_add(buffer.get(), content.data(), content.size());
+    return buffer;
+}
+
+std::uint16_t bound_port(int fd) {
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    if (address.ss_family == AF_INET6) {
+        return ntohs(reinterpret_cast<sockaddr_in6*>(&address)->sin6_port);
+    }
+    return ntohs(reinterpret_cast<sockaddr_in*>(&address)->sin_port);
+}
+
+} // namespace
+
+incoming_request::incoming_request(const event_loop& loop,
+                                   evhttp_request* request)
+    : request_(request) {
+    auto* connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, on_closed, this);
+    const int fd = bufferevent_getfd(
+        evhttp_connection_get_bufferevent(connection));
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // evhttp does not read while a request is answered; this event shows a
+    // caller's close without reading what may be pipelined behind.
+    close_watch_.reset(
+        event_new(loop.base(), fd, EV_CLOSED, on_peer_closed, this));
+    event_add(close_watch_.get(), nullptr);
+}
+
+incoming_request::~incoming_request() { abort(); }
+
+evhttp_cmd_type incoming_request::method() const {
+    return evhttp_request_get_command(request_);
+}
+
+std::string_view incoming_request::target() const {
+    return evhttp_request_get_uri(request_);
+}
+
+header_list incoming_request::headers() const {
+    return copy_headers(evhttp_request_get_input_headers(request_));
+}
+
+std::string incoming_request::body() const {
+    auto* buffer = evhttp_request_get_input_buffer(request_);
+    std::string content(evbuffer_get_length(buffer), '\0');
+    evbuffer_copyout(buffer, content.data(), content.size());
+    return content;
+}
+
+std::string incoming_request::peer_address() const {
+    char* address = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request_),
+                               &address, &port);
+    return address == nullptr ? std::string() : std::string(address);
+}
+
+void incoming_request::add_headers(const header_list& headers) {
+    auto* out = evhttp_request_get_output_headers(request_);
+    for (const auto& field : headers) {
+        evhttp_add_header(out, field.name.c_str(), field.value.c_str());
+    }
+}
+
+// Hands the request back to evhttp, which sends the rest.
+void incoming_request::release() {
+    close_watch_.reset();
+    auto* connection = evhttp_request_get_connection(request_);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    request_ = nullptr;
+}
+
+void incoming_request::reply(int status, const header_list& headers,
+                             std::string_view body) {
+    if (request_ == nullptr) {
+        return;
+    }
+    add_headers(headers);
+    auto* request = request_;
+    release();
+    const auto buffer = make_buffer(body);
+    evhttp_send_reply(request, status, nullptr, buffer.get());
+}
+
+void incoming_request::start(int status, const header_list& headers) {
+    if (request_ == nullptr) {
+        return;
+    }
+    started_ = true;
+    add_headers(headers);
+    evhttp_send_reply_start(request_, status, nullptr);
+}
+
+void incoming_request::send(std::string_view piece) {
+    if (request_ == nullptr || piece.empty()) {
+        return;
+    }
+    const auto buffer = make_buffer(piece);
+    evhttp_send_reply_chunk_with_cb(request_, buffer.get(), on_written, this);
+}
+
+void incoming_request::finish() {
+    if (request_ == nullptr) {
+        return;
+    }
+    auto* request = request_;
+    release();
+    evhttp_send_reply_end(request);
+}
+
+void incoming_request::abort() {
+    if (request_ != nullptr) {
+        lose_connection(true);
+    }
+}
+
+std::size_t incoming_request::unsent() const {
+    if (request_ == nullptr) {
+        return 0;
+    }
+    auto* connection = evhttp_request_get_connection(request_);
+    auto* stream = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(bufferevent_get_output(stream));
+}
+
+void incoming_request::lose_connection(bool free_connection) {
+    close_watch_.reset();
+    auto* request = request_;
+    request_ = nullptr;
+    auto* connection = evhttp_request_get_connection(request);
+    if (connection == nullptr) {
+        evhttp_request_free(request);
+    } else {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        if (free_connection) {
+            evhttp_connection_free(connection);
+        }
+    }
+}
+
+void incoming_request::on_closed(evhttp_connection*, void* argument) {
+    auto* self = static_cast<incoming_request*>(argument);
+    if (self->request_ == nullptr) {
+        return;
+    }
+    self->lose_connection(false);
+    self->gone.emit();
+}
+
+void incoming_request::on_peer_closed(evutil_socket_t, short, void* argument) {
+    auto* self = static_cast<incoming_request*>(argument);
+    if (self->request_ == nullptr) {
+        return;
+    }
+    self->lose_connection(true);
+    self->gone.emit();
+}
+
+void incoming_request::on_written(evhttp_connection*, void* argument) {
+    auto* self = static_cast<incoming_request*>(argument);
+    if (self->request_ != nullptr) {
+        self->drained.emit();
+    }
+}
+
+http_listener::http_listener(event_loop& loop, const std::string& ip,
+                             std::uint16_t port, const listener_limits& limits)
+    : loop_(loop), server_(evhttp_new(loop.base())) {
+    evhttp_set_allowed_methods(server_, allowed_methods);
+    evhttp_set_max_headers_size(server_,
+                                static_cast<ev_ssize_t>(limits.max_header_bytes));
+    evhttp_set_max_body_size(server_,
+                             static_cast<ev_ssize_t>(limits.max_body_bytes));
+    const auto timeout = to_timeval(limits.idle_timeout);
+    evhttp_set_timeout_tv(server_, &timeout);
+    evhttp_set_default_content_type(server_, nullptr);
+    evhttp_set_gencb(server_, on_request, this);
+    socket_ = evhttp_bind_socket_with_handle(server_, ip.c_str(), port);
+    if (socket_ == nullptr) {
+        evhttp_free(server_);
+        throw error("cannot listen on " + ip + ":" + std::to_string(port));
+    }
+    port_ = bound_port(evhttp_bound_socket_get_fd(socket_));
+}
+
+http_listener::~http_listener() { evhttp_free(server_); }
+
+void http_listener::stop_accepting() {
+    if (socket_ != nullptr) {
+        evhttp_del_accept_socket(server_, socket_);
+        socket_ = nullptr;
+    }
+}
+
+void http_listener::on_request(evhttp_request* request, void* argument) {
+    auto* self = static_cast<http_listener*>(argument);
+    self->request.emit(
+        std::make_shared<incoming_request>(self->loop_, request));
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/adapters/peer_link.hpp
@@ -0,0 +1,87 @@
+#ifndef LACEWINGBEAM_ADAPTERS_PEER_LINK_HPP
+#define LACEWINGBEAM_ADAPTERS_PEER_LINK_HPP
+
+#include "event_loop.hpp"
+#include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/peer_messages.hpp"
+
+#include <cstdint>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+// Carries peers' messages: one UDP datagram each, or a TCP frame (length,
+// then the message) for what does not fit.
+namespace lacewingbeam {
+
+struct peer_link_counts {
+    std::uint64_t sent = 0;
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t dropped = 0; // not authentic or not readable
+};
+
+class peer_link {
+public:
+    // Binds UDP and TCP to the same port. Throws error if it can't.
+    peer_link(event_loop& loop, const std::string& ip, std::uint16_t port,
+              std::string key);
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+    ~peer_link();
+
+    std::uint16_t port() const { return port_; }
+    const peer_link_counts& counts() const { return counts_; }
+
+    // Sends without waiting; what can't be sent is lost.
+    void send(const std::string& peer_address, const peer_message& message);
+
+    // A message arrived. The address is where an answer goes.
+    sigc::signal<void(const std::string&, const peer_message&)> received;
+
+    // A message was dropped; says why.
+    sigc::signal<void(const std::string&, const std::string&)> dropped;
+
+private:
+    struct stream {
+        peer_link* link = nullptr;
+        bufferevent* handle = nullptr;
+        time_point opened_at;
+        ~stream();
+    };
+
+    void bind(const std::string& ip, std::uint16_t port);
+    void listen(const std::string& ip);
+    void receive();
+    void take(const std::string& from, std::string_view bytes);
+    void send_frame(const endpoint& to, std::string_view bytes);
+    void close_later(bufferevent* handle);
+    void close_old();
+    stream& adopt(bufferevent* handle);
+    void read_frames(stream& from);
+
+    static void on_readable(evutil_socket_t, short, void* argument);
+    static void on_accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                          void* argument);
+    static void on_stream_read(bufferevent*, void* argument);
+    static void on_stream_write(bufferevent*, void* argument);
+    static void on_stream_event(bufferevent*, short what, void* argument);
+
+    event_loop& loop_;
+    std::string key_;
+    std::string ip_;
+    int socket_ = -1;
+    std::uint16_t port_ = 0;
+    event_handle readable_;
+    evconnlistener* listener_ = nullptr;
+    scoped_event sweep_timer_;
+    std::map<bufferevent*, std::unique_ptr<stream>> streams_;
+    peer_link_counts counts_;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/adapters/settings_file.cpp
@@ -0,0 +1,409 @@
+#include "settings_file.hpp"
+
+#include "lacewingbeam/endpoint.hpp"
+#include "settings_schema.hpp"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+#include <charconv>
+#include <fstream>
+#include <ini.h>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace lacewingbeam {
+
+namespace {
+
+using apache::thrift::protocol::T_I32;
+using apache::thrift::protocol::T_STRING;
+using apache::thrift::protocol::T_STRUCT;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+// A setting as the schema describes it.
+struct setting_rule {
+    std::int16_t field = 0;
+    std::string name;
+    bool is_number = false;
+    std::string fallback;
+    std::string unit;
+    std::string kind;
+    std::string help;
+    bool mandatory = false;
+    std::int32_t low = 0;
+    std::int32_t high = 0;
+    std::vector<std::string> allowed;
+};
+
+struct section_rule {
+    std::int16_t field = 0;
+    std::string name;
+    std::vector<setting_rule> settings;
+};
+
+// A value as found in the file.
+struct found_setting {
+    std::string section;
+    std::string name;
+    std::string value;
+    int line = 0;
+};
+
+std::string annotation(const nlohmann::json& field, const char* name) {
+    const auto notes = field.find("annotations");
+    if (notes == field.end()) {
+        return {};
+    }
+    return notes->value(name, std::string());
+}
+
+std::int32_t to_number(const std::string& text) {
+    return text.empty() ? 0 : std::stoi(text);
+}
+
+setting_rule read_rule(const nlohmann::json& field) {
+    setting_rule rule;
+    rule.field = field.at("key");
+    rule.name = field.at("name");
+    rule.is_number = field.at("typeId") == "i32";
+    const auto& fallback = field.at("default");
+    rule.fallback = fallback.is_string() ? fallback.get<std::string>()
+                                         : fallback.dump();
+    rule.unit = annotation(field, "unit");
+    rule.kind = annotation(field, "kind");
+    rule.help = annotation(field, "help");
+    rule.mandatory = annotation(field, "mandatory") == "yes";
+    rule.low = to_number(annotation(field, "min"));
+    rule.high = to_number(annotation(field, "max"));
+    const auto allowed = annotation(field, "one_of");
+    if (!allowed.empty()) {
+        boost::algorithm::split(rule.allowed, allowed,
+                                [](char c) { return c == ' '; });
+    }
+    return rule;
+}
+
+std::vector<section_rule> read_schema() {
+    const auto schema = nlohmann::json::parse(detail::settings_schema);
+    std::vector<section_rule> sections;
+    const auto& structs = schema.at("structs");
+    const auto find_struct = [&](const std::string& name) {
+        return *std::find_if(
+            structs.begin(), structs.end(),
+            [&](const auto& item) { return item.at("name") == name; });
+    };
+    for (const auto& member : find_struct("entry_settings").at("fields")) {
+        section_rule section;
+        section.field = member.at("key");
+        section.name = member.at("name");
+        const std::string type = member.at("type").at("class");
+        for (const auto& field : find_struct(type).at("fields")) {
+            section.settings.push_back(read_rule(field));
+        }
+        sections.push_back(std::move(section));
+    }
+    return sections;
+}
+
+// Collects problems so that all are shown at once.
+class problem_list {
+public:
+    explicit problem_list(std::string file) : file_(std::move(file)) {}
+
+    void add(int line, const std::string& text) {
+        text_ += file_;
+        if (line > 0) {
+            text_ += ":" + std::to_string(line);
+        }
+        text_ += ": " + text + "\n";
+    }
+
+    void throw_if_any() const {
+        if (!text_.empty()) {
+            throw settings_error(text_.substr(0, text_.size() - 1));
+        }
+    }
+
+private:
+    std::string file_;
+    std::string text_;
+};
+
+struct ini_reader {
+    std::istringstream input;
+    int line = 0;
+    int too_long = 0; // the first line that does not fit inih's buffer
+    std::vector<found_setting> found;
+};
+
+char* read_line(char* out, int size, void* stream) {
+    auto* reader = static_cast<ini_reader*>(stream);
+    std::string line;
+    if (!std::getline(reader->input, line)) {
+        return nullptr;
+    }
+    ++reader->line;
+    const auto room = static_cast<std::size_t>(size) - 1;
+    const auto length = std::min(line.size(), room);
+    if (line.size() > room && reader->too_long == 0) {
+        reader->too_long = reader->line;
+    }
+    std::copy_n(line.begin(), length, out);
+    out[length] = '\0';
+    return out;
+}
+
+int take_setting(void* user, const char* section, const char* name,
+                 const char* value) {
+    auto* reader = static_cast<ini_reader*>(user);
+    reader->found.push_back({section, name, value, reader->line});
+    return 1;
+}
+
+// ini_parse_stream takes one pointer for reading and one for values; both
+// are the reader.
+std::vector<found_setting> read_ini(std::string_view text,
+                                    problem_list& problems) {
+    ini_reader reader;
+    reader.input.str(std::string(text));
+    const int bad_line =
+        ini_parse_stream(read_line, &reader, take_setting, &reader);
+    if (bad_line > 0) {
+        problems.add(bad_line, "neither [section] nor key = value");
+    }
+    if (reader.too_long > 0) {
+        problems.add(reader.too_long, "the line is too long");
+    }
+    return std::move(reader.found);
+}
+
+std::string join(const std::vector<std::string>& items) {
+    return boost::algorithm::join(items, ", ");
+}
+
+std::string range_text(const setting_rule& rule) {
+    return "a whole number from " + std::to_string(rule.low) + " to " +
+           std::to_string(rule.high) + " (unit: " + rule.unit +
+           ", written without it)";
+}
+
+std::string check_number(const setting_rule& rule, const std::string& value) {
+    std::int32_t number = 0;
+    const char* end = value.data() + value.size();
+    const auto result = std::from_chars(value.data(), end, number);
+    if (result.ec != std::errc{} || result.ptr != end || number < rule.low ||
+        number > rule.high) {
+        return "allowed is " + range_text(rule);
+    }
+    return {};
+}
+
+bool are_endpoints(const std::string& value) {
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, value, [](char c) { return c == ','; });
+    return std::all_of(parts.begin(), parts.end(), [](std::string part) {
+        boost::algorithm::trim(part);
+        return parse_endpoint(part).has_value();
+    });
+}
+
+std::string check_text(const setting_rule& rule, const std::string& value) {
+    if (value.empty()) {
+        return rule.mandatory ? "a value is needed" : "";
+    }
+    if (!rule.allowed.empty() &&
+        std::find(rule.allowed.begin(), rule.allowed.end(), value) ==
+            rule.allowed.end()) {
+        return "allowed is one of " + join(rule.allowed);
+    }
+    if (rule.kind == "ip" && !is_ip_address(value)) {
+        return "allowed is an IP address";
+    }
+    if (rule.kind == "endpoint" && !parse_endpoint(value)) {
+        return "allowed is an IP address and port, IP:port";
+    }
+    if (rule.kind == "endpoints" && !are_endpoints(value)) {
+        return "allowed is a list of IP:port, separated by commas";
+    }
+    return {};
+}
+
+std::string check_value(const setting_rule& rule, const std::string& value) {
+    return rule.is_number ? check_number(rule, value)
+                          : check_text(rule, value);
+}
+
+const section_rule* find_section(const std::vector<section_rule>& schema,
+                                 const std::string& name) {
+    for (const auto& section : schema) {
+        if (section.name == name) {
+            return &section;
+        }
+    }
+    return nullptr;
+}
+
+const setting_rule* find_rule(const section_rule& section,
+                              const std::string& name) {
+    for (const auto& rule : section.settings) {
+        if (rule.name == name) {
+            return &rule;
+        }
+    }
+    return nullptr;
+}
+
+void check_found(const std::vector<section_rule>& schema,
+                 const found_setting& item, problem_list& problems) {
+    const auto* section = find_section(schema, item.section);
+    if (section == nullptr) {
+        std::vector<std::string> names;
+        for (const auto& known : schema) {
+            names.push_back(known.name);
+        }
+        problems.add(item.line, "unknown section [" + item.section +
+                                    "]; known are " + join(names));
+        return;
+    }
+    const auto* rule = find_rule(*section, item.name);
+    if (rule == nullptr) {
+        std::vector<std::string> names;
+        for (const auto& known : section->settings) {
+            names.push_back(known.name);
+        }
+        problems.add(item.line, "unknown key " + item.name + " in [" +
+                                    item.section + "]; known are " +
+                                    join(names));
+        return;
+    }
+    const auto problem = check_value(*rule, item.value);
+    if (!problem.empty()) {
+        problems.add(item.line, "[" + item.section + "] " + item.name +
+                                    " = \"" + item.value + "\": " + problem);
+    }
+}
+
+const found_setting* find_value(const std::vector<found_setting>& found,
+                                const std::string& section,
+                                const std::string& name) {
+    for (const auto& item : found) {
+        if (item.section == section && item.name == name) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+void check_mandatory(const std::vector<section_rule>& schema,
+                     const std::vector<found_setting>& found,
+                     problem_list& problems) {
+    for (const auto& section : schema) {
+        for (const auto& rule : section.settings) {
+            if (rule.mandatory &&
+                find_value(found, section.name, rule.name) == nullptr) {
+                problems.add(0, "[" + section.name + "] " + rule.name +
+                                    " is missing: " + rule.help);
+            }
+        }
+    }
+}
+
+void check_repeated(const std::vector<found_setting>& found,
+                    problem_list& problems) {
+    std::set<std::pair<std::string, std::string>> seen;
+    for (const auto& item : found) {
+        if (!seen.emplace(item.section, item.name).second) {
+            problems.add(item.line, "[" + item.section + "] " + item.name +
+                                        " is given twice");
+        }
+    }
+}
+
+// Writes the values in Thrift's own form, from which the generated struct
+// reads them: the schema is the only list of names.
+settings::entry_settings bind(const std::vector<section_rule>& schema,
+                              const std::vector<found_setting>& found) {
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    protocol.writeStructBegin("entry_settings");
+    for (const auto& section : schema) {
+        protocol.writeFieldBegin("", T_STRUCT, section.field);
+        protocol.writeStructBegin("");
+        for (const auto& rule : section.settings) {
+            const auto* item = find_value(found, section.name, rule.name);
+            const auto& value = item == nullptr ? rule.fallback : item->value;
+            protocol.writeFieldBegin("", rule.is_number ? T_I32 : T_STRING,
+                                     rule.field);
+            if (rule.is_number) {
+                protocol.writeI32(to_number(value));
+            } else {
+                protocol.writeString(value);
+            }
+            protocol.writeFieldEnd();
+        }
+        protocol.writeFieldStop();
+        protocol.writeStructEnd();
+        protocol.writeFieldEnd();
+    }
+    protocol.writeFieldStop();
+    protocol.writeStructEnd();
+    settings::entry_settings value;
+    value.read(&protocol);
+    return value;
+}
+
+} // namespace
+
+settings::entry_settings parse_settings(std::string_view text,
+                                        const std::string& name) {
+    const auto schema = read_schema();
+    problem_list problems(name);
+    const auto found = read_ini(text, problems);
+    for (const auto& item : found) {
+        check_found(schema, item, problems);
+    }
+    check_repeated(found, problems);
+    check_mandatory(schema, found, problems);
+    problems.throw_if_any();
+    return bind(schema, found);
+}
+
+settings::entry_settings read_settings_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) {
+        throw settings_error(path + ": cannot be read");
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return parse_settings(content.str(), path);
+}
+
+std::string settings_reference() {
+    std::ostringstream out;
+    for (const auto& section : read_schema()) {
+        out << "### [" << section.name << "]\n\n"
+            << "| key | default | allowed | meaning |\n"
+            << "|---|---|---|---|\n";
+        for (const auto& rule : section.settings) {
+            std::string allowed = rule.kind;
+            if (rule.is_number) {
+                allowed = std::to_string(rule.low) + " to " +
+                          std::to_string(rule.high) + " " + rule.unit;
+            } else if (!rule.allowed.empty()) {
+                allowed = join(rule.allowed);
+            }
+            const auto fallback =
+                rule.mandatory ? std::string("must be given") : rule.fallback;
+            out << "| " << rule.name << " | " << fallback << " | " << allowed
+                << " | " << rule.help << " |\n";
+        }
+        out << "\n";
+    }
+    return out.str();
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/adapters/settings_file.hpp
@@ -0,0 +1,32 @@
+#ifndef LACEWINGBEAM_ADAPTERS_SETTINGS_FILE_HPP
+#define LACEWINGBEAM_ADAPTERS_SETTINGS_FILE_HPP
+
+#include "lacewingbeam/core.hpp"
+#include "settings_types.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Reads the daemon's INI settings and checks them against the schema.
+namespace lacewingbeam {
+
+// Thrown for settings that can't be accepted. The message has one line for
+// each problem: file, line, key and what is allowed.
+class settings_error : public error {
+public:
+    using error::error;
+};
+
+settings::entry_settings read_settings_file(const std::string& path);
+
+// `name` stands for the file in messages.
+settings::entry_settings parse_settings(std::string_view text,
+                                        const std::string& name);
+
+// The reference of all settings, as Markdown tables.
+std::string settings_reference();
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/adapters/wire_codec.cpp
@@ -0,0 +1,241 @@
+#include "wire_codec.hpp"
+
+#include "lacewingbeam/ticket.hpp"
+#include "messages_constants.h"
+#include "messages_types.h"
+
+#include <algorithm>
+#include <limits>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace lacewingbeam {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+
+constexpr int max_string = 1 << 20;
+constexpr int max_container = 1 << 18;
+
+// Keeps a message's code from being valid for a ticket.
+constexpr std::string_view message_context = "lacewingbeam message 1\n";
+
+std::int32_t clamp_ms(duration value) {
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(
+        ms, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+duration from_ms(std::int32_t value) {
+    return std::chrono::milliseconds(std::max(0, value));
+}
+
+std::int16_t clamp_count(unsigned value) {
+    return static_cast<std::int16_t>(std::min<unsigned>(
+        value, std::numeric_limits<std::int16_t>::max()));
+}
+
+unsigned from_count(std::int16_t value) {
+    return static_cast<unsigned>(std::max<std::int16_t>(value, 0));
+}
+
+wire::member to_wire(const member& value) {
+    wire::member out;
+    out.incarnation.assign(value.id.bytes.begin(), value.id.bytes.end());
+    out.peer_address = value.peer_address;
+    out.caller_address = value.caller_address;
+    out.admin_address = value.admin_address;
+    out.failure_domain = value.failure_domain;
+    out.state = static_cast<std::int16_t>(value.state);
+    out.age_ms = clamp_ms(value.age);
+    return out;
+}
+
+member from_wire(const wire::member& value) {
+    member out;
+    if (value.incarnation.size() != out.id.bytes.size()) {
+        throw wire_error("incarnation has a wrong size");
+    }
+    std::copy(value.incarnation.begin(), value.incarnation.end(),
+              out.id.bytes.begin());
+    out.peer_address = value.peer_address;
+    out.caller_address = value.caller_address;
+    out.admin_address = value.admin_address;
+    out.failure_domain = value.failure_domain;
+    const auto last = static_cast<std::int16_t>(member_state::suspected);
+    if (value.state < 0 || value.state > last) {
+        throw wire_error("unknown member state");
+    }
+    out.state = static_cast<member_state>(value.state);
+    out.age = from_ms(value.age_ms);
+    return out;
+}
+
+wire::row to_wire(const raw_row& value) {
+    wire::row out;
+    out.key = value.key;
+    out.version = static_cast<std::int64_t>(value.version);
+    out.deleted = value.deleted;
+    for (const auto& item : value.cells) {
+        wire::cell copy;
+        copy.name = item.name;
+        copy.value = item.value;
+        out.cells.push_back(std::move(copy));
+    }
+    return out;
+}
+
+raw_row from_wire(const wire::row& value) {
+    raw_row out;
+    out.key = value.key;
+    out.version = static_cast<std::uint64_t>(value.version);
+    out.deleted = value.deleted;
+    for (const auto& item : value.cells) {
+        out.cells.push_back({item.name, item.value});
+    }
+    return out;
+}
+
+struct message_writer {
+    wire::peer_message& out;
+
+    void operator()(const heartbeat& value) const {
+        wire::heartbeat beat;
+        beat.sender = to_wire(value.sender);
+        beat.sequence = static_cast<std::int64_t>(value.sequence);
+        beat.table_version = static_cast<std::int64_t>(value.table_version);
+        beat.table_age_ms = clamp_ms(value.table_age);
+        for (const auto& item : value.loads) {
+            wire::server_load load;
+            load.server_hash = static_cast<std::int64_t>(item.server_hash);
+            load.in_flight = clamp_count(item.in_flight);
+            load.long_in_flight = clamp_count(item.long_in_flight);
+            beat.loads.push_back(load);
+        }
+        for (const auto& item : value.leaving) {
+            wire::leaving_server leaving;
+            leaving.service_name = item.key.service;
+            leaving.backend_server = item.key.backend_server;
+            leaving.age_ms = clamp_ms(item.age);
+            beat.leaving.push_back(std::move(leaving));
+        }
+        for (const auto& item : value.members) {
+            beat.members.push_back(to_wire(item));
+        }
+        out.__set_beat(beat);
+    }
+
+    void operator()(const table_request& value) const {
+        wire::table_request request;
+        request.have_version = static_cast<std::int64_t>(value.have_version);
+        out.__set_request(request);
+    }
+
+    void operator()(const table_rows& value) const {
+        wire::table_rows rows;
+        rows.table_version = static_cast<std::int64_t>(value.table_version);
+        rows.age_ms = clamp_ms(value.age);
+        for (const auto& item : value.rows) {
+            rows.rows.push_back(to_wire(item));
+        }
+        out.__set_rows(rows);
+    }
+};
+
+heartbeat read_heartbeat(const wire::heartbeat& value) {
+    heartbeat beat;
+    beat.sender = from_wire(value.sender);
+    beat.sequence = static_cast<std::uint64_t>(value.sequence);
+    beat.table_version = static_cast<std::uint64_t>(value.table_version);
+    beat.table_age = from_ms(value.table_age_ms);
+    for (const auto& item : value.loads) {
+        beat.loads.push_back({static_cast<std::uint64_t>(item.server_hash),
+                              from_count(item.in_flight),
+                              from_count(item.long_in_flight)});
+    }
+    for (const auto& item : value.leaving) {
+        beat.leaving.push_back({{item.service_name, item.backend_server},
+                                from_ms(item.age_ms)});
+    }
+    for (const auto& item : value.members) {
+        beat.members.push_back(from_wire(item));
+    }
+    return beat;
+}
+
+table_rows read_rows(const wire::table_rows& value) {
+    table_rows rows;
+    rows.table_version = static_cast<std::uint64_t>(value.table_version);
+    rows.age = from_ms(value.age_ms);
+    for (const auto& item : value.rows) {
+        rows.rows.push_back(from_wire(item));
+    }
+    return rows;
+}
+
+
+wire::peer_message parse(std::string_view content) {
+    auto* bytes = const_cast<char*>(content.data()); // OBSERVE only reads
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t*>(bytes),
+        static_cast<std::uint32_t>(content.size()), TMemoryBuffer::OBSERVE);
+    compact_protocol protocol(buffer, max_string, max_container);
+    wire::peer_message message;
+    try {
+        message.read(&protocol);
+    } catch (const apache::thrift::TException& problem) {
+        throw wire_error(std::string("unreadable message: ") + problem.what());
+    }
+    return message;
+}
+
+} // namespace
+
+std::string encode_message(const peer_message& message, std::string_view key) {
+    wire::peer_message out;
+    std::visit(message_writer{out}, message);
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    compact_protocol protocol(buffer);
+    out.write(&protocol);
+    const auto content = buffer->getBufferAsString();
+    const auto code =
+        authenticate(key, std::string(message_context) += content);
+    return std::string(code.begin(), code.end()) += content;
+}
+
+peer_message decode_message(std::string_view bytes, std::string_view key) {
+    constexpr auto code_size = sizeof(authentication_code);
+    if (bytes.size() < code_size) {
+        throw wire_error("message is too short");
+    }
+    const auto content = bytes.substr(code_size);
+    authentication_code given;
+    std::copy_n(bytes.begin(), code_size, given.begin());
+    const auto expected =
+        authenticate(key, std::string(message_context) += content);
+    if (!equal(given, expected)) {
+        throw wire_error("message is not authentic");
+    }
+    const auto message = parse(content);
+    if (message.version != wire::g_messages_constants.protocol_version) {
+        throw wire_error("unknown protocol version " +
+                         std::to_string(message.version));
+    }
+    if (message.__isset.beat) {
+        return read_heartbeat(message.beat);
+    }
+    if (message.__isset.request) {
+        return table_request{
+            static_cast<std::uint64_t>(message.request.have_version)};
+    }
+    if (message.__isset.rows) {
+        return read_rows(message.rows);
+    }
+    throw wire_error("message is empty");
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/choice.cpp
@@ -0,0 +1,171 @@
+#include "lacewingbeam/choice.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <string>
+
+namespace lacewingbeam {
+
+namespace {
+
+using candidates_view = std::span<const candidate>;
+
+constexpr std::size_t max_sample = 16;
+
+// Latency assumed of a server that has not answered yet.
+constexpr double assumed_latency_ms = 1;
+
+// A server in another failure domain costs about one more network delay.
+constexpr double remote_domain_factor = 1.05;
+
+double total_weight(candidates_view candidates) {
+    double sum = 0;
+    for (const auto& item : candidates) {
+        sum += item.weight;
+    }
+    return sum;
+}
+
+// A position in proportion to weight.
+std::size_t draw(candidates_view candidates, double total,
+                 random_engine& engine) {
+    boost::random::uniform_real_distribution<double> pick(0, total);
+    double left = pick(engine);
+    for (std::size_t i = 0; i + 1 < candidates.size(); ++i) {
+        left -= candidates[i].weight;
+        if (left < 0) {
+            return i;
+        }
+    }
+    return candidates.size() - 1;
+}
+
+double own_load(const candidate& item) {
+    return (item.own_in_flight + 1.0) / item.weight;
+}
+
+struct chooser {
+    candidates_view candidates;
+    random_engine& engine;
+
+    std::size_t operator()(random_choice&) const {
+        return draw(candidates, total_weight(candidates), engine);
+    }
+
+    std::size_t operator()(round_robin& policy) const {
+        return policy.next++ % candidates.size();
+    }
+
+    std::size_t operator()(least_in_flight&) const {
+        std::size_t best = 0;
+        unsigned ties = 1;
+        for (std::size_t i = 1; i < candidates.size(); ++i) {
+            const double here = own_load(candidates[i]);
+            const double there = own_load(candidates[best]);
+            if (here < there) {
+                best = i;
+                ties = 1;
+            } else if (here == there) {
+                ++ties;
+                boost::random::uniform_int_distribution<unsigned> pick(1, ties);
+                if (pick(engine) == 1) {
+                    best = i;
+                }
+            }
+        }
+        return best;
+    }
+
+    std::size_t operator()(power_of_two&) const {
+        const double total = total_weight(candidates);
+        const auto first = draw(candidates, total, engine);
+        const auto second = draw(candidates, total, engine);
+        return own_load(candidates[second]) < own_load(candidates[first])
+                   ? second
+                   : first;
+    }
+
+    std::size_t operator()(load_aware& policy) const {
+        const auto sample =
+            std::min<std::size_t>(policy.sample, candidates.size());
+        std::array<std::size_t, max_sample> order{};
+        if (candidates.size() <= max_sample) {
+            return best_of_all(sample, order);
+        }
+        const double total = total_weight(candidates);
+        std::size_t best = draw(candidates, total, engine);
+        for (std::size_t i = 1; i < sample; ++i) {
+            best = better(best, draw(candidates, total, engine));
+        }
+        return best;
+    }
+
+private:
+    std::size_t better(std::size_t a, std::size_t b) const {
+        return expected_cost(candidates[b]) < expected_cost(candidates[a]) ? b
+                                                                           : a;
+    }
+
+    // Draws `sample` different positions by partial shuffle.
+    std::size_t best_of_all(std::size_t sample,
+                            std::array<std::size_t, max_sample>& order) const {
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            order[i] = i;
+        }
+        std::size_t best = candidates.size();
+        for (std::size_t i = 0; i < sample; ++i) {
+            boost::random::uniform_int_distribution<std::size_t> pick(
+                i, candidates.size() - 1);
+            std::swap(order[i], order[pick(engine)]);
+            best = best == candidates.size() ? order[i]
+                                             : better(best, order[i]);
+        }
+        return best;
+    }
+};
+
+} // namespace
+
+double expected_cost(const candidate& value) {
+    const double service_ms = std::max(value.latency_ms, assumed_latency_ms);
+    const double per_slot = (value.load + 1) / (value.slots * value.weight);
+    const double waiting =
+        std::max(0.0, value.load + 1 - value.slots) / value.slots;
+    const double domain = value.own_failure_domain ? 1 : remote_domain_factor;
+    return service_ms * (per_slot + waiting + 1) * value.penalty * domain;
+}
+
+choice_policy parse_policy(std::string_view name) {
+    if (name == "random") {
+        return random_choice{};
+    }
+    if (name == "round_robin") {
+        return round_robin{};
+    }
+    if (name == "least_in_flight") {
+        return least_in_flight{};
+    }
+    if (name == "power_of_two") {
+        return power_of_two{};
+    }
+    if (name == "load_aware") {
+        return load_aware{};
+    }
+    throw error("unknown policy \"" + std::string(name) +
+                "\"; known are random, round_robin, least_in_flight, "
+                "power_of_two, load_aware");
+}
+
+std::optional<std::size_t> choose(choice_policy& policy,
+                                  std::span<const candidate> candidates,
+                                  random_engine& engine) {
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const auto position = std::visit(chooser{candidates, engine}, policy);
+    return candidates[position].index;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/coordinator.cpp
@@ -0,0 +1,462 @@
+#include "lacewingbeam/coordinator.hpp"
+
+#include <algorithm>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration default_retry_after = milliseconds(200);
+constexpr duration doubt_retry_after = seconds(1);
+constexpr std::size_t max_journal_backlog = 1000;
+constexpr std::size_t claims_per_batch = 64;
+constexpr std::size_t max_key_length = 200;
+
+// Keys are claimed in the platform for good; the ledger's memory of them
+// ends with the retention.
+constexpr duration key_start_window = seconds(3600);
+
+void finish(call_id id, const verdict& outcome, duration retry_after,
+            coordinator::actions& out) {
+    out.emplace_back(finish_call{id, outcome, retry_after});
+}
+
+void refuse(call_id id, not_run_reason reason, duration retry_after,
+            coordinator::actions& out) {
+    finish(id, not_run{reason}, retry_after, out);
+}
+
+operation_id ticket_operation(const ticket& value) {
+    return {"t/" + to_string(value.minter) + "/" +
+            std::to_string(value.sequence)};
+}
+
+// The platform's key of a claim.
+std::string claim_key(const arriving_call& arriving) {
+    return arriving.service + "/" + arriving.idempotency_key;
+}
+
+operation_id key_operation(const std::string& key) { return {"k/" + key}; }
+
+bool is_plain_key(std::string_view key) {
+    return key.size() <= max_key_length &&
+           std::all_of(key.begin(), key.end(),
+                       [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+} // namespace
+
+coordinator::coordinator(coordinator_options options, time_point now)
+    : options_(std::move(options)), engine_(options_.seed),
+      dispatcher_(options_.dispatch, options_.seed + 1),
+      membership_(options_.own, options_.members), ledger_(options_.ledger),
+      claims_(options_.own.id, claims_per_batch),
+      mint_(options_.own.id, options_.key, options_.ticket_lifetime),
+      writes_(options_.writes_per_second, options_.writes_per_second, now),
+      next_heartbeat_(now), next_housekeeping_(now),
+      last_seen_(now) {}
+
+std::optional<call> coordinator::classify(const arriving_call& arriving,
+                                          time_point now, actions& out) {
+    const auto* service = table_.find_service(arriving.service);
+    if (is_unconfirmed(now)) {
+        refuse(arriving.id, not_run_reason::table_unconfirmed,
+               doubt_retry_after, out);
+        return std::nullopt;
+    }
+    if (service == nullptr) {
+        refuse(arriving.id, not_run_reason::unknown_service, {}, out);
+        return std::nullopt;
+    }
+    if (dispatcher_.calls() + forwarded_.size() >= options_.max_calls) {
+        refuse(arriving.id, not_run_reason::queue_full, default_retry_after,
+               out);
+        return std::nullopt;
+    }
+    const auto time_left =
+        std::min(arriving.time_left.value_or(service->deadline),
+                 service->deadline);
+    call dispatch;
+    dispatch.id = arriving.id;
+    dispatch.service = arriving.service;
+    dispatch.idempotent =
+        service->is_idempotent(arriving.method, arriving.path);
+    dispatch.length = service->length_of(arriving.method, arriving.path);
+    dispatch.deadline = now + time_left;
+    return dispatch;
+}
+
+coordinator::actions coordinator::on_call(const arriving_call& arriving,
+                                          time_point now) {
+    observe(now);
+    actions out;
+    auto dispatch = classify(arriving, now, out);
+    if (!dispatch) {
+        return out;
+    }
+    if (forward_to_share_holder(arriving, *dispatch, now, out)) {
+        return out;
+    }
+    const bool once = !dispatch->idempotent;
+    if (once && !arriving.ticket.empty()) {
+        begin_ticketed(arriving, *dispatch, now, out);
+    } else if (once && !arriving.idempotency_key.empty()) {
+        begin_keyed(arriving, *dispatch, now, out);
+    } else {
+        take(dispatcher_.submit(*dispatch, now), out);
+    }
+    return out;
+}
+
+// With a limit below the number of instances some have no share of it; the
+// call goes to one that has.
+bool coordinator::forward_to_share_holder(const arriving_call& arriving,
+                                          const call& dispatch, time_point now,
+                                          actions& out) {
+    const auto limit = table_.find_service(arriving.service)->limit;
+    const bool has_operation =
+        !arriving.ticket.empty() || !arriving.idempotency_key.empty();
+    if (limit == 0 || arriving.forwarded || has_operation ||
+        limit > membership_.own_rank(now)) {
+        return false;
+    }
+    std::vector<member> holders;
+    for (const auto& peer : membership_.members(now)) {
+        if (peer.state == member_state::alive) {
+            holders.push_back(peer);
+        }
+    }
+    holders.resize(std::min<std::size_t>(holders.size(), limit));
+    if (holders.empty()) {
+        return false;
+    }
+    const auto position = static_cast<std::uint64_t>(arriving.id) %
+                          holders.size();
+    const auto& holder = holders[position];
+    forwarded_[arriving.id] = {{}, dispatch.deadline};
+    out.emplace_back(forward_call{arriving.id, holder.id,
+                                  holder.caller_address,
+                                  dispatch.deadline - now});
+    return true;
+}
+
+void coordinator::begin_ticketed(const arriving_call& arriving,
+                                 const call& dispatch, time_point now,
+                                 actions& out) {
+    const auto value = decode(arriving.ticket, options_.key);
+    if (!value) {
+        refuse(arriving.id, not_run_reason::ticket_invalid, {}, out);
+        return;
+    }
+    const auto operation = ticket_operation(*value);
+    if (value->minter != own().id) {
+        operation_call waiting{operation, dispatch, false, arriving.forwarded};
+        forward_or_look_up(waiting, value->minter, now, out);
+        return;
+    }
+    const operation_lifetime lifetime{value->expires,
+                                      value->expires + options_.retention};
+    const auto result =
+        begin_operation(arriving, dispatch, operation, lifetime, now, out);
+    if (std::holds_alternative<may_start>(result)) {
+        take(dispatcher_.submit(operations_.at(arriving.id).dispatch, now),
+             out);
+    }
+}
+
+void coordinator::begin_keyed(const arriving_call& arriving,
+                              const call& dispatch, time_point now,
+                              actions& out) {
+    if (!is_plain_key(arriving.idempotency_key)) {
+        refuse(arriving.id, not_run_reason::bad_request, {}, out);
+        return;
+    }
+    const auto key = claim_key(arriving);
+    const operation_lifetime lifetime{
+        now + key_start_window, now + options_.retention + key_start_window};
+    const auto result = begin_operation(arriving, dispatch, key_operation(key),
+                                        lifetime, now, out);
+    if (std::holds_alternative<may_start>(result)) {
+        claiming_[key] = arriving.id;
+        claims_.request(key, dispatch.deadline, engine_);
+        pump_claims(now, out);
+    }
+}
+
+begin_result coordinator::begin_operation(const arriving_call& arriving,
+                                          const call& dispatch,
+                                          const operation_id& operation,
+                                          operation_lifetime lifetime,
+                                          time_point now, actions& out) {
+    auto result = ledger_.begin(operation, arriving.fingerprint, arriving.id,
+                                lifetime, now);
+    operation_call entry{operation, dispatch, false, arriving.forwarded};
+    entry.dispatch.record_answer = true;
+    if (std::holds_alternative<may_start>(result)) {
+        entry.owner = true;
+        operations_[arriving.id] = std::move(entry);
+    } else if (std::holds_alternative<wait_for_result>(result)) {
+        operations_[arriving.id] = std::move(entry);
+    } else if (const auto* known = std::get_if<replay>(&result)) {
+        out.emplace_back(replay_answer{arriving.id, known->answer});
+    } else {
+        finish(arriving.id, std::get<answer_now>(result).outcome, {}, out);
+    }
+    return result;
+}
+
+void coordinator::forward_or_look_up(const operation_call& waiting,
+                                     const incarnation& owner, time_point now,
+                                     actions& out) {
+    const auto id = waiting.dispatch.id;
+    forwarded_[id] = {waiting.operation, waiting.dispatch.deadline};
+    const auto peer = membership_.find(owner, now);
+    if (peer && !waiting.forwarded && owner != own().id &&
+        waiting.dispatch.deadline > now) {
+        out.emplace_back(forward_call{id, owner, peer->caller_address,
+                                      waiting.dispatch.deadline - now});
+        return;
+    }
+    out.emplace_back(read_journal{id, waiting.operation});
+}
+
+coordinator::actions
+coordinator::on_forward_ended(call_id id, const forward_result& result,
+                              time_point now) {
+    observe(now);
+    actions out;
+    const auto found = forwarded_.find(id);
+    if (found == forwarded_.end()) {
+        return out;
+    }
+    const auto entry = found->second;
+    const bool has_operation = !entry.operation.text.empty();
+    if (std::holds_alternative<forward_completed>(result)) {
+        forwarded_.erase(found);
+        finish(id, completed{}, {}, out);
+    } else if (std::holds_alternative<forward_lost>(result)) {
+        forwarded_.erase(found);
+        finish(id, may_have_run{may_have_run_reason::connection_lost},
+               doubt_retry_after, out);
+    } else if (has_operation) {
+        out.emplace_back(read_journal{id, entry.operation});
+    } else {
+        forwarded_.erase(found);
+        refuse(id, not_run_reason::connect_failed, default_retry_after, out);
+    }
+    return out;
+}
+
+coordinator::actions
+coordinator::on_journal(call_id id, std::optional<recorded_answer> answer,
+                        time_point now) {
+    observe(now);
+    actions out;
+    if (forwarded_.erase(id) == 0) {
+        return out;
+    }
+    if (answer) {
+        out.emplace_back(replay_answer{id, std::move(*answer)});
+    } else {
+        finish(id, may_have_run{may_have_run_reason::minter_unreachable},
+               doubt_retry_after, out);
+    }
+    return out;
+}
+
+// An operation goes on without its caller, who may come back for the result.
+coordinator::actions coordinator::on_caller_gone(call_id id, time_point now) {
+    observe(now);
+    actions out;
+    const auto found = operations_.find(id);
+    if (found == operations_.end()) {
+        forwarded_.erase(id);
+        take(dispatcher_.cancel(id, now), out);
+    } else if (!found->second.owner) {
+        ledger_.forget_waiter(found->second.operation, id);
+        operations_.erase(found);
+    }
+    return out;
+}
+
+std::optional<std::string> coordinator::mint_ticket(time_point now) {
+    if (stopping_since_) {
+        return std::nullopt;
+    }
+    return mint_.mint(now);
+}
+
+coordinator::actions coordinator::on_head(attempt_id attempt, time_point now) {
+    observe(now);
+    actions out;
+    take(dispatcher_.on_head(attempt, now), out);
+    return out;
+}
+
+coordinator::actions
+coordinator::on_attempt_ended(attempt_id attempt, const attempt_result& result,
+                              std::optional<recorded_answer> answer,
+                              time_point now) {
+    observe(now);
+    actions out;
+    take(dispatcher_.on_ended(attempt, result, now), out, std::move(answer));
+    return out;
+}
+
+void coordinator::take(dispatcher::actions decided, actions& out,
+                       std::optional<recorded_answer> answer) {
+    for (auto& item : decided) {
+        std::visit([&](auto& value) { out.emplace_back(std::move(value)); },
+                   item);
+        const auto* ended = std::get_if<finish_call>(&out.back());
+        if (ended == nullptr) {
+            continue;
+        }
+        const auto over = *ended;
+        const auto found = operations_.find(over.call);
+        if (found == operations_.end() || !found->second.owner) {
+            continue;
+        }
+        const auto operation = found->second.operation;
+        operations_.erase(found);
+        const bool ran = std::holds_alternative<completed>(over.outcome);
+        finish_operation(operation, over.outcome,
+                         ran ? std::move(answer) : std::nullopt,
+                         over.retry_after, out);
+    }
+}
+
+void coordinator::finish_operation(const operation_id& operation,
+                                   const verdict& outcome,
+                                   std::optional<recorded_answer> answer,
+                                   duration retry_after, actions& out) {
+    const auto waiters = ledger_.finish(operation, outcome, answer);
+    for (const auto id : waiters) {
+        operations_.erase(id);
+        answer_waiter(id, outcome, answer, retry_after, out);
+    }
+    if (!answer) {
+        return;
+    }
+    if (journal_.size() >= max_journal_backlog) {
+        journal_.pop_front();
+    }
+    journal_.push_back({operation, std::move(*answer)});
+}
+
+void coordinator::answer_waiter(call_id id, const verdict& outcome,
+                                const std::optional<recorded_answer>& answer,
+                                duration retry_after, actions& out) {
+    if (answer) {
+        out.emplace_back(replay_answer{id, *answer});
+    } else if (std::holds_alternative<completed>(outcome)) {
+        finish(id, may_have_run{may_have_run_reason::answer_not_kept}, {},
+               out);
+    } else {
+        finish(id, outcome, retry_after, out);
+    }
+}
+
+coordinator::actions coordinator::on_claims_committed(std::uint64_t batch,
+                                                      time_point now) {
+    observe(now);
+    actions out;
+    settle_claims(claims_.on_committed(batch), now, out);
+    return out;
+}
+
+coordinator::actions
+coordinator::on_claims_conflict(std::uint64_t batch,
+                                std::span<const claim> existing,
+                                time_point now) {
+    observe(now);
+    actions out;
+    settle_claims(claims_.on_conflict(batch, existing), now, out);
+    return out;
+}
+
+coordinator::actions coordinator::on_claims_unknown(std::uint64_t batch,
+                                                    time_point now) {
+    observe(now);
+    actions out;
+    claims_.on_unknown(batch);
+    settle_claims({}, now, out);
+    return out;
+}
+
+coordinator::actions
+coordinator::on_claim_read(const std::string& key,
+                           const std::optional<claim>& row, time_point now) {
+    observe(now);
+    actions out;
+    settle_claims(claims_.on_read(key, row), now, out);
+    return out;
+}
+
+coordinator::actions
+coordinator::on_claim_read_failed(const std::string& key, time_point now) {
+    observe(now);
+    claims_.on_read_failed(key);
+    return {};
+}
+
+void coordinator::settle_claims(const std::vector<claim_event>& events,
+                                time_point now, actions& out) {
+    for (const auto& event : events) {
+        on_claim_event(event, now, out);
+    }
+    pump_claims(now, out);
+}
+
+void coordinator::on_claim_event(const claim_event& event, time_point now,
+                                 actions& out) {
+    const auto& key = std::visit(
+        [](const auto& value) -> const std::string& { return value.key; },
+        event);
+    const auto claiming = claiming_.find(key);
+    if (claiming == claiming_.end()) {
+        return;
+    }
+    const auto id = claiming->second;
+    claiming_.erase(claiming);
+    const auto waiting = operations_.at(id);
+    if (std::holds_alternative<claim_won>(event)) {
+        take(dispatcher_.submit(waiting.dispatch, now), out);
+        return;
+    }
+    operations_.erase(id);
+    if (std::holds_alternative<claim_abandoned>(event)) {
+        const not_run outcome{not_run_reason::store_unavailable};
+        finish(id, outcome, doubt_retry_after, out);
+        finish_operation(waiting.operation, outcome, std::nullopt,
+                         doubt_retry_after, out);
+        return;
+    }
+    const auto& owner = std::get<claim_taken>(event).claimant;
+    const auto followers = ledger_.finish(
+        waiting.operation, not_run{not_run_reason::store_unavailable}, {});
+    forward_or_look_up(waiting, owner, now, out);
+    for (const auto follower : followers) {
+        const auto entry = operations_.at(follower);
+        operations_.erase(follower);
+        forward_or_look_up(entry, owner, now, out);
+    }
+}
+
+void coordinator::pump_claims(time_point now, actions& out) {
+    for (auto& key : claims_.next_reads()) {
+        out.emplace_back(read_claim{std::move(key)});
+    }
+    if (!writes_.has_token(now)) {
+        return;
+    }
+    auto batch = claims_.next_batch();
+    if (batch && writes_.try_take(now)) {
+        out.emplace_back(write_claims{std::move(*batch)});
+    }
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -0,0 +1,376 @@
+#include "lacewingbeam/coordinator.hpp"
+
+#include <algorithm>
+
+// The part of the coordinator that keeps the instance's knowledge fresh:
+// table, membership, load, probes, journal and shutdown.
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A gap between two events that is taken for a pause of the process.
+constexpr duration pause_threshold = seconds(2);
+
+// A table older than this is not trusted while nobody can be heard.
+constexpr duration max_table_age = seconds(4);
+
+// Stands for a table that was never confirmed.
+constexpr duration unknown_age = std::chrono::hours(1);
+
+constexpr duration housekeeping_interval = milliseconds(100);
+
+// A backend server is probed only after this long without news of it.
+constexpr duration probe_after_silence = seconds(2);
+
+constexpr std::size_t members_per_heartbeat = 4;
+constexpr std::size_t leaving_per_heartbeat = 16;
+constexpr std::size_t loads_per_heartbeat = 64;
+constexpr std::size_t entries_per_journal_write = 50;
+
+// The platform's balancer may send calls this long after readiness is red.
+constexpr duration balancer_lag = seconds(2);
+
+// The journal's last entries are given up after this long.
+constexpr duration max_journal_wait = seconds(10);
+
+constexpr duration overdue_wait = milliseconds(100);
+constexpr duration still_running_retry_after = milliseconds(500);
+
+} // namespace
+
+void coordinator::observe(time_point now) {
+    if (now - last_seen_ > pause_threshold) {
+        woke_up_ = true;
+        dispatcher_.set_holding(true);
+    }
+    last_seen_ = std::max(last_seen_, now);
+}
+
+duration coordinator::table_age(time_point now) const {
+    return confirmed_at_ ? std::min(now - *confirmed_at_, unknown_age)
+                         : unknown_age;
+}
+
+bool coordinator::is_unconfirmed(time_point now) const {
+    if (table_.version() == 0) {
+        return true;
+    }
+    return table_age(now) > max_table_age &&
+           (woke_up_ || membership_.cut_off(now));
+}
+
+void coordinator::confirm_table(time_point confirmed_at) {
+    if (!confirmed_at_ || *confirmed_at_ < confirmed_at) {
+        confirmed_at_ = confirmed_at;
+    }
+    if (last_seen_ - confirmed_at <= max_table_age) {
+        woke_up_ = false;
+        dispatcher_.set_holding(false);
+    }
+}
+
+std::vector<std::string>
+coordinator::on_table(std::span<const raw_row> rows, std::uint64_t version,
+                      time_point asked_at, time_point now) {
+    observe(now);
+    if (version < table_.version()) {
+        return {};
+    }
+    auto result = table_.apply(rows, version);
+    if (result.changed) {
+        after_table_change(now);
+    }
+    confirm_table(asked_at);
+    return std::move(result.rejected);
+}
+
+void coordinator::after_table_change(time_point now) {
+    dispatcher_.apply_table(table_, now);
+    servers_by_hash_.clear();
+    for (const auto& name : table_.service_names()) {
+        for (const auto& row : table_.servers_of(name)) {
+            servers_by_hash_[hash(row.key)] = row.key;
+        }
+    }
+    next_heartbeat_ = std::min(next_heartbeat_, now);
+}
+
+void coordinator::on_platform_failed(time_point now) {
+    observe(now);
+    // Without peers nobody else can have seen a newer table.
+    if (woke_up_ && membership_.members(now).empty()) {
+        woke_up_ = false;
+        dispatcher_.set_holding(false);
+    }
+}
+
+void coordinator::on_instance_list(std::span<const listed_instance> list,
+                                   time_point now) {
+    observe(now);
+    std::vector<std::string> peers;
+    for (const auto& item : list) {
+        if (item.is_peer) {
+            peers.push_back(item.address);
+        }
+    }
+    membership_.set_listed(peers);
+    dispatcher_.for_each_server([&](server_state& state) {
+        const bool leaving = std::any_of(
+            list.begin(), list.end(), [&](const listed_instance& item) {
+                return !item.is_peer && item.leaving &&
+                       item.address == state.row().address;
+            });
+        if (leaving) {
+            state.mark_leaving(now);
+        }
+    });
+}
+
+void coordinator::on_report(const server_key& server, const load_report& report,
+                            bool draining, time_point now) {
+    auto* state = dispatcher_.find_server(server);
+    if (state == nullptr) {
+        return;
+    }
+    state->on_report(report, now);
+    if (draining) {
+        state->mark_leaving(now);
+    }
+}
+
+void coordinator::on_probe_failed(const server_key& server, time_point now) {
+    if (auto* state = dispatcher_.find_server(server)) {
+        state->on_failure(now);
+    }
+}
+
+void coordinator::set_seeds(std::span<const std::string> peer_addresses) {
+    membership_.set_seeds(peer_addresses);
+}
+
+std::vector<member> coordinator::peers(time_point now) const {
+    return membership_.members(now);
+}
+
+coordinator::actions coordinator::on_message(const std::string& from,
+                                             const peer_message& message,
+                                             time_point now) {
+    observe(now);
+    actions out;
+    if (const auto* beat = std::get_if<heartbeat>(&message)) {
+        on_heartbeat(from, *beat, now, out);
+    } else if (const auto* request = std::get_if<table_request>(&message)) {
+        if (table_.version() > request->have_version) {
+            out.emplace_back(send_message{
+                from, table_rows{table_.version(), table_age(now),
+                                 table_.rows_after(request->have_version)}});
+        }
+    } else {
+        const auto& rows = std::get<table_rows>(message);
+        on_table(rows.rows, rows.table_version, now - rows.age, now);
+    }
+    return out;
+}
+
+void coordinator::on_heartbeat(const std::string& from, const heartbeat& beat,
+                               time_point now, actions& out) {
+    if (!membership_.on_heartbeat(beat.sender, beat.sequence, now)) {
+        return;
+    }
+    membership_.on_hearsay(beat.members, now);
+    note_peer_loads(beat, now);
+    for (const auto& item : beat.leaving) {
+        if (auto* state = dispatcher_.find_server(item.key)) {
+            state->mark_leaving(now - item.age);
+        }
+    }
+    if (beat.table_version > table_.version()) {
+        out.emplace_back(send_message{from, table_request{table_.version()}});
+    } else if (beat.table_version == table_.version() && beat.table_version > 0) {
+        confirm_table(now - beat.table_age);
+    }
+}
+
+void coordinator::forget_peer_loads(const incarnation& peer) {
+    const auto found = peer_loads_.find(peer);
+    if (found == peer_loads_.end()) {
+        return;
+    }
+    for (const auto& load : found->second) {
+        auto& sum = load_sums_[load.server_hash];
+        sum.in_flight -= load.in_flight;
+        sum.long_in_flight -= load.long_in_flight;
+    }
+    peer_loads_.erase(found);
+}
+
+void coordinator::note_peer_loads(const heartbeat& beat, time_point now) {
+    forget_peer_loads(beat.sender.id);
+    for (const auto& load : beat.loads) {
+        auto& sum = load_sums_[load.server_hash];
+        sum.in_flight += load.in_flight;
+        sum.long_in_flight += load.long_in_flight;
+        const auto known = servers_by_hash_.find(load.server_hash);
+        if (known == servers_by_hash_.end()) {
+            continue;
+        }
+        if (auto* state = dispatcher_.find_server(known->second)) {
+            state->set_peer_load(sum, now);
+        }
+    }
+    peer_loads_[beat.sender.id] = beat.loads;
+}
+
+coordinator::actions coordinator::on_tick(time_point now) {
+    observe(now);
+    actions out;
+    dispatcher_.set_share(
+        {membership_.active_count(now), membership_.own_rank(now)});
+    if (woke_up_ && is_unconfirmed(now)) {
+        take(dispatcher_.refuse_waiting(not_run_reason::table_unconfirmed),
+             out);
+    }
+    take(dispatcher_.tick(now), out);
+    settle_claims(claims_.expire(now), now, out);
+    if (now >= next_heartbeat_) {
+        next_heartbeat_ = now + options_.heartbeat_interval;
+        send_heartbeats(now, out);
+    }
+    if (now >= next_housekeeping_) {
+        next_housekeeping_ = now + housekeeping_interval;
+        ledger_.expire(now);
+        expire_waiters(now, out);
+        pump_probes(now, out);
+        pump_journal(now, out);
+    }
+    return out;
+}
+
+void coordinator::expire_waiters(time_point now, actions& out) {
+    std::vector<call_id> overdue;
+    for (const auto& [id, entry] : operations_) {
+        if (!entry.owner && now >= entry.dispatch.deadline) {
+            overdue.push_back(id);
+        }
+    }
+    for (const auto id : overdue) {
+        ledger_.forget_waiter(operations_.at(id).operation, id);
+        operations_.erase(id);
+        out.emplace_back(finish_call{
+            id, may_have_run{may_have_run_reason::still_running},
+            still_running_retry_after});
+    }
+    std::vector<call_id> forgotten;
+    for (const auto& [id, entry] : forwarded_) {
+        if (now >= entry.deadline + overdue_wait) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const auto id : forgotten) {
+        forwarded_.erase(id);
+        out.emplace_back(finish_call{
+            id, may_have_run{may_have_run_reason::minter_unreachable},
+            still_running_retry_after});
+    }
+}
+
+void coordinator::pump_probes(time_point now, actions& out) {
+    dispatcher_.for_each_server([&](server_state& state) {
+        const bool wanted = state.silent_for(probe_after_silence, now) ||
+                            state.leaving_age(now).has_value();
+        if (wanted && state.probes().try_take(now)) {
+            out.emplace_back(
+                probe_server{state.row().key, state.row().address});
+        }
+    });
+}
+
+void coordinator::pump_journal(time_point now, actions& out) {
+    if (journal_.empty() || !writes_.try_take(now)) {
+        return;
+    }
+    write_journal write;
+    while (!journal_.empty() &&
+           write.entries.size() < entries_per_journal_write) {
+        write.entries.push_back(std::move(journal_.front()));
+        journal_.pop_front();
+    }
+    out.emplace_back(std::move(write));
+}
+
+void coordinator::send_heartbeats(time_point now, actions& out) {
+    const auto targets = membership_.heartbeat_targets(engine_, now);
+    if (targets.empty()) {
+        return;
+    }
+    std::vector<incarnation> gone;
+    for (const auto& [id, loads] : peer_loads_) {
+        if (!membership_.find(id, now)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        forget_peer_loads(id);
+    }
+    const auto beat = make_heartbeat(now);
+    for (const auto& address : targets) {
+        out.emplace_back(send_message{address, beat});
+    }
+}
+
+heartbeat coordinator::make_heartbeat(time_point now) {
+    heartbeat beat;
+    beat.sender = membership_.own();
+    beat.sequence = ++heartbeat_sequence_;
+    beat.table_version = table_.version();
+    beat.table_age = table_age(now);
+    beat.members = membership_.digest(members_per_heartbeat, now);
+    dispatcher_.for_each_server([&](server_state& state) {
+        if (state.in_flight() > 0 && beat.loads.size() < loads_per_heartbeat) {
+            beat.loads.push_back({hash(state.row().key), state.in_flight(),
+                                  state.long_in_flight()});
+        }
+        const auto age = state.leaving_age(now);
+        if (age && beat.leaving.size() < leaving_per_heartbeat) {
+            beat.leaving.push_back({state.row().key, *age});
+        }
+    });
+    return beat;
+}
+
+void coordinator::begin_stop(time_point now) {
+    if (!stopping_since_) {
+        stopping_since_ = now;
+        membership_.set_leaving();
+        next_heartbeat_ = now;
+    }
+}
+
+bool coordinator::may_exit(time_point now) const {
+    if (!stopping_since_ || now < *stopping_since_ + balancer_lag) {
+        return false;
+    }
+    const bool journal_done =
+        journal_.empty() || now > *stopping_since_ + max_journal_wait;
+    return dispatcher_.calls() == 0 && operations_.empty() &&
+           forwarded_.empty() && journal_done && now >= mint_.last_expiry();
+}
+
+instance_status coordinator::status(time_point now) const {
+    instance_status value;
+    value.table_confirmed = !is_unconfirmed(now);
+    value.stopping = stopping_since_.has_value();
+    value.ready = value.table_confirmed && !value.stopping;
+    value.table_version = table_.version();
+    value.table_age = table_age(now);
+    value.calls = dispatcher_.calls() + forwarded_.size();
+    value.waiting = dispatcher_.waiting();
+    value.operations = ledger_.size();
+    value.active_instances = membership_.active_count(now);
+    return value;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/dispatcher.cpp
@@ -0,0 +1,557 @@
+#include "lacewingbeam/dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double retry_reserve = 20;
+constexpr double hedge_reserve = 5;
+constexpr double latency_gain = 0.1;
+constexpr double hedge_deviations = 4;
+constexpr duration min_hedge_delay = milliseconds(10);
+constexpr std::size_t kept_choices = 16;
+
+// Advice when nothing better is known.
+constexpr duration default_retry_after = milliseconds(200);
+
+struct reason_of_result {
+    verdict operator()(const attempt_completed&) const { return completed{}; }
+    verdict operator()(const attempt_refused& value) const {
+        return not_run{value.reason};
+    }
+    verdict operator()(const attempt_lost& value) const {
+        return may_have_run{value.reason};
+    }
+};
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_options options, std::uint64_t seed)
+    : options_(std::move(options)), engine_(seed) {}
+
+void dispatcher::apply_table(const table_view& table, time_point now) {
+    const auto names = table.service_names();
+    std::erase_if(services_, [&](const auto& item) {
+        return table.find_service(item.first) == nullptr &&
+               item.second.queue.empty() && item.second.running == 0;
+    });
+    for (const auto& name : names) {
+        const auto [found, added] = services_.try_emplace(name);
+        auto& entry = found->second;
+        if (added) {
+            entry.retries = {options_.retry_percent, retry_reserve};
+            entry.hedges = {options_.hedge_percent, hedge_reserve};
+        }
+        entry.row = *table.find_service(name);
+        entry.queue.set_limit(entry.row.queue_limit);
+        update_servers(entry, table, now);
+    }
+}
+
+void dispatcher::update_servers(service_entry& entry, const table_view& table,
+                                time_point now) {
+    std::vector<server_state> updated;
+    for (const auto& row : table.servers_of(entry.row.name)) {
+        const auto known = std::find_if(
+            entry.servers.begin(), entry.servers.end(),
+            [&](const server_state& s) { return s.row().key == row.key; });
+        if (known != entry.servers.end()) {
+            known->set_row(row, now);
+            updated.push_back(std::move(*known));
+        } else {
+            updated.emplace_back(row, now);
+        }
+        updated.back().probes().set_rate(
+            probe_rate(entry.row.probe_cost, entry.row.probe_share,
+                       entry.row.max_instances),
+            now);
+    }
+    entry.servers = std::move(updated);
+}
+
+unsigned dispatcher::limit_share(const service_entry& entry) const {
+    const auto whole = entry.row.limit / share_.instances;
+    const bool extra = share_.rank < entry.row.limit % share_.instances;
+    return static_cast<unsigned>(whole + (extra ? 1 : 0));
+}
+
+duration dispatcher::expected_wait(const service_entry& entry) const {
+    double slots = 0;
+    for (const auto& state : entry.servers) {
+        slots += state.row().slots;
+    }
+    const double own = std::max(1.0, slots / share_.instances);
+    const double rounds = static_cast<double>(entry.queue.size()) / own;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(rounds * entry.latency_ms));
+}
+
+dispatcher::actions dispatcher::submit(const call& arriving, time_point now) {
+    actions out;
+    const auto found = services_.find(arriving.service);
+    if (found == services_.end()) {
+        out.emplace_back(finish_call{
+            arriving.id, not_run{not_run_reason::unknown_service}, {}});
+        return out;
+    }
+    auto& entry = found->second;
+    auto& created = calls_[arriving.id];
+    created.info = arriving;
+    if (entry.servers.empty()) {
+        end_call(arriving.id, not_run{not_run_reason::no_backend_server},
+                 default_retry_after, out);
+        return out;
+    }
+    if (arriving.deadline <= now) {
+        end_call(arriving.id, not_run{not_run_reason::deadline_passed}, {},
+                 out);
+        return out;
+    }
+    entry.retries.on_call();
+    entry.hedges.on_call();
+    const auto wait = expected_wait(entry);
+    if (now + wait > arriving.deadline) {
+        end_call(arriving.id, not_run{not_run_reason::queue_full}, wait, out);
+        return out;
+    }
+    wait_or_place(entry, created, now, out);
+    return out;
+}
+
+void dispatcher::wait_or_place(service_entry& entry, call_entry& waiting,
+                               time_point now, actions& out) {
+    schedule_check(waiting, waiting.info.deadline);
+    const bool first_in_line = entry.queue.empty();
+    if (first_in_line && place(entry, waiting, false, now, out)) {
+        return;
+    }
+    const auto id = waiting.info.id;
+    if (waiting.attempts > 0) {
+        entry.queue.restore(id, waiting.info.deadline);
+    } else if (!entry.queue.push(id, waiting.info.deadline)) {
+        const auto wait = std::max(expected_wait(entry), default_retry_after);
+        end_call(id, not_run{not_run_reason::queue_full}, wait, out);
+        return;
+    }
+    waiting.waiting = true;
+    if (!first_in_line) {
+        pump(entry, now, out);
+    }
+}
+
+bool dispatcher::has_room(const server_state& state, const call& info,
+                          time_point now) const {
+    const auto& row = state.row();
+    if (row.weight <= 0 || state.is_leaving(now) ||
+        state.in_flight() >= row.slots) {
+        return false;
+    }
+    if (!std::holds_alternative<load_aware>(options_.policy)) {
+        return true;
+    }
+    if (state.estimated_load(now) >= row.slots) {
+        return false;
+    }
+    const unsigned long_slots = std::max(1U, row.slots - 1);
+    return info.length == work_length::short_work ||
+           state.estimated_long(now) < long_slots;
+}
+
+std::vector<candidate>
+dispatcher::candidates_for(service_entry& entry, const call_entry& waiting,
+                           bool ignore_tried, time_point now) {
+    std::vector<candidate> list;
+    for (std::size_t i = 0; i < entry.servers.size(); ++i) {
+        const auto& state = entry.servers[i];
+        const auto& row = state.row();
+        const bool tried =
+            std::find(waiting.tried.begin(), waiting.tried.end(),
+                      row.key.backend_server) != waiting.tried.end();
+        if ((tried && !ignore_tried) || !has_room(state, waiting.info, now)) {
+            continue;
+        }
+        candidate item;
+        item.index = i;
+        item.weight = row.weight;
+        item.slots = row.slots;
+        item.own_in_flight = state.in_flight();
+        item.load = state.estimated_load(now);
+        item.latency_ms = state.latency_ms();
+        item.penalty = state.penalty(now);
+        item.own_failure_domain =
+            row.failure_domain == options_.failure_domain;
+        list.push_back(item);
+    }
+    return list;
+}
+
+server_state* dispatcher::choose_server(service_entry& entry,
+                                        call_entry& waiting, time_point now) {
+    const bool tried_all = waiting.tried.size() >= entry.servers.size();
+    auto list = candidates_for(entry, waiting, tried_all, now);
+    const auto index = choose(options_.policy, list, engine_);
+    if (!index) {
+        return nullptr;
+    }
+    auto& chosen = entry.servers[*index];
+    if (entry.choices.size() >= kept_choices) {
+        entry.choices.erase(entry.choices.begin());
+    }
+    entry.choices.push_back({now, chosen.row().key, std::move(list)});
+    return &chosen;
+}
+
+bool dispatcher::place(service_entry& entry, call_entry& waiting, bool hedge,
+                       time_point now, actions& out) {
+    if (holding_ || waiting.info.deadline <= now) {
+        return false;
+    }
+    const bool first = waiting.running.empty();
+    if (first && entry.row.limit > 0 && entry.running >= limit_share(entry)) {
+        return false;
+    }
+    auto* state = choose_server(entry, waiting, now);
+    if (state == nullptr) {
+        return false;
+    }
+    const auto id = attempt_id{next_attempt_++};
+    const auto& row = state->row();
+    state->on_sent(waiting.info.length, now);
+    attempts_[id] = {waiting.info.id, row.key, now, hedge};
+    entry.running += first ? 1 : 0;
+    waiting.running.push_back(id);
+    waiting.tried.push_back(row.key.backend_server);
+    ++waiting.attempts;
+    const auto share =
+        std::max<std::size_t>(1, row.connections / share_.instances);
+    out.emplace_back(start_attempt{
+        waiting.info.id, id, row.key, row.address, waiting.info.deadline - now,
+        static_cast<unsigned>(share), waiting.info.idempotent,
+        waiting.info.record_answer});
+    schedule_check(waiting, next_check(entry, waiting, now));
+    return true;
+}
+
+void dispatcher::pump(service_entry& entry, time_point now, actions& out) {
+    bool short_blocked = false;
+    bool long_blocked = false;
+    for (const auto id : entry.queue.in_order()) {
+        if (short_blocked) {
+            return;
+        }
+        auto& waiting = calls_.at(id);
+        const bool is_long = waiting.info.length == work_length::long_work;
+        if (is_long && long_blocked) {
+            continue;
+        }
+        if (place(entry, waiting, false, now, out)) {
+            entry.queue.remove(id);
+            waiting.waiting = false;
+        } else if (is_long) {
+            long_blocked = true;
+        } else {
+            short_blocked = true;
+        }
+    }
+}
+
+dispatcher::actions dispatcher::on_head(attempt_id attempt, time_point now) {
+    actions out;
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end()) {
+        return out;
+    }
+    auto& owner = calls_.at(found->second.call);
+    if (owner.delivering) {
+        return out;
+    }
+    owner.delivering = true;
+    auto& entry = services_.at(owner.info.service);
+    const auto latency = now - found->second.sent_at;
+    if (auto* state = find_server(found->second.server)) {
+        state->on_answer(latency, owner.info.length, now);
+    }
+    if (owner.info.length == work_length::short_work) {
+        learn_latency(entry, to_ms(latency));
+    }
+    cancel_others(owner, attempt, out);
+    checks_.erase({owner.check_at, owner.info.id});
+    out.emplace_back(deliver_answer{owner.info.id, attempt});
+    return out;
+}
+
+void dispatcher::learn_latency(service_entry& entry, double latency_ms) {
+    if (entry.latency_ms == 0) {
+        entry.latency_ms = latency_ms;
+        entry.deviation_ms = latency_ms;
+        return;
+    }
+    const double difference = latency_ms - entry.latency_ms;
+    entry.latency_ms += latency_gain * difference;
+    entry.deviation_ms +=
+        latency_gain * (std::abs(difference) - entry.deviation_ms);
+}
+
+void dispatcher::release_attempt(attempt_id attempt,
+                                 const attempt_entry& entry) {
+    const auto& info = calls_.at(entry.call).info;
+    if (auto* state = find_server(entry.server)) {
+        state->on_ended(info.length);
+    }
+    attempts_.erase(attempt);
+}
+
+void dispatcher::cancel_others(call_entry& owner, attempt_id keep,
+                               actions& out) {
+    const auto running = owner.running;
+    for (const auto other : running) {
+        if (other != keep) {
+            out.emplace_back(cancel_attempt{other});
+            drop_attempt(owner, other);
+        }
+    }
+}
+
+void dispatcher::drop_attempt(call_entry& owner, attempt_id attempt) {
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end()) {
+        return;
+    }
+    std::erase(owner.running, attempt);
+    if (owner.running.empty()) {
+        services_.at(owner.info.service).running -= 1;
+    }
+    const auto entry = found->second;
+    release_attempt(attempt, entry);
+}
+
+void dispatcher::note_result(const attempt_entry& entry,
+                             const attempt_result& result, time_point now) {
+    auto* state = find_server(entry.server);
+    if (state == nullptr) {
+        return;
+    }
+    if (const auto* refused = std::get_if<attempt_refused>(&result)) {
+        if (refused->reason == not_run_reason::shed) {
+            state->on_shed(now);
+        } else if (refused->reason == not_run_reason::draining) {
+            state->mark_leaving(now);
+        } else {
+            state->on_failure(now);
+        }
+    } else if (std::holds_alternative<attempt_lost>(result)) {
+        state->on_failure(now);
+    }
+}
+
+dispatcher::actions dispatcher::on_ended(attempt_id attempt,
+                                         const attempt_result& result,
+                                         time_point now) {
+    actions out;
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end()) {
+        return out;
+    }
+    const auto entry = found->second;
+    note_result(entry, result, now);
+    auto& owner = calls_.at(entry.call);
+    const auto service_name = owner.info.service;
+    const verdict outcome = std::visit(reason_of_result{}, result);
+    drop_attempt(owner, attempt);
+    if (const auto* lost = std::get_if<may_have_run>(&outcome)) {
+        owner.lost = *lost;
+    }
+    if (owner.delivering || std::holds_alternative<completed>(outcome)) {
+        end_call(entry.call, outcome, {}, out);
+    } else if (owner.running.empty()) {
+        retry_or_finish(owner, outcome, now, out);
+    }
+    pump(services_.at(service_name), now, out);
+    return out;
+}
+
+void dispatcher::retry_or_finish(call_entry& owner, const verdict& outcome,
+                                 time_point now, actions& out) {
+    auto& entry = services_.at(owner.info.service);
+    const bool harmless =
+        certainly_not_run(outcome) || owner.info.idempotent;
+    const bool time_left = owner.info.deadline > now;
+    if (harmless && time_left && owner.attempts < options_.max_attempts &&
+        entry.retries.try_take()) {
+        wait_or_place(entry, owner, now, out);
+        return;
+    }
+    const verdict whole = owner.lost ? verdict{*owner.lost} : outcome;
+    const auto wait = std::max(expected_wait(entry), default_retry_after);
+    end_call(owner.info.id, whole, wait, out);
+}
+
+void dispatcher::end_call(call_id id, const verdict& outcome,
+                          duration retry_after, actions& out) {
+    const auto found = calls_.find(id);
+    auto& owner = found->second;
+    const auto running = owner.running;
+    for (const auto attempt : running) {
+        out.emplace_back(cancel_attempt{attempt});
+        drop_attempt(owner, attempt);
+    }
+    if (owner.waiting) {
+        services_.at(owner.info.service).queue.remove(id);
+    }
+    checks_.erase({owner.check_at, id});
+    calls_.erase(found);
+    out.emplace_back(finish_call{id, outcome, retry_after});
+}
+
+dispatcher::actions dispatcher::cancel(call_id id, time_point now) {
+    actions out;
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return out;
+    }
+    const auto service_name = found->second.info.service;
+    const bool sent = !found->second.running.empty() || found->second.lost;
+    const verdict outcome =
+        sent ? verdict{may_have_run{may_have_run_reason::caller_gone}}
+             : verdict{not_run{not_run_reason::caller_gone}};
+    end_call(id, outcome, {}, out);
+    pump(services_.at(service_name), now, out);
+    return out;
+}
+
+void dispatcher::schedule_check(call_entry& owner, time_point at) {
+    checks_.erase({owner.check_at, owner.info.id});
+    owner.check_at = at;
+    checks_.emplace(at, owner.info.id);
+}
+
+time_point dispatcher::next_check(const service_entry& entry,
+                                  const call_entry& owner,
+                                  time_point now) const {
+    const bool may_hedge = owner.info.idempotent && !owner.hedged &&
+                           owner.info.length == work_length::short_work &&
+                           entry.latency_ms > 0;
+    if (!may_hedge) {
+        return owner.info.deadline;
+    }
+    const double usual_ms =
+        entry.latency_ms + hedge_deviations * entry.deviation_ms;
+    const auto delay = std::max(
+        min_hedge_delay,
+        std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(usual_ms)));
+    return std::min(owner.info.deadline, now + delay);
+}
+
+dispatcher::actions dispatcher::tick(time_point now) {
+    actions out;
+    while (!checks_.empty() && checks_.begin()->first <= now) {
+        const auto id = checks_.begin()->second;
+        checks_.erase(checks_.begin());
+        check_call(id, now, out);
+    }
+    for (auto& [name, entry] : services_) {
+        if (!entry.queue.empty()) {
+            pump(entry, now, out);
+        }
+    }
+    return out;
+}
+
+void dispatcher::check_call(call_id id, time_point now, actions& out) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || found->second.delivering) {
+        return;
+    }
+    auto& owner = found->second;
+    if (owner.info.deadline <= now) {
+        expire_call(owner, now, out);
+        return;
+    }
+    auto& entry = services_.at(owner.info.service);
+    if (!owner.running.empty() && !owner.hedged) {
+        try_hedge(entry, owner, now, out);
+    }
+    schedule_check(owner, owner.info.deadline);
+}
+
+void dispatcher::expire_call(call_entry& owner, time_point now, actions& out) {
+    verdict outcome = not_run{not_run_reason::deadline_passed};
+    if (!owner.running.empty()) {
+        outcome = may_have_run{may_have_run_reason::answer_timeout};
+        for (const auto attempt : owner.running) {
+            if (auto* state = find_server(attempts_.at(attempt).server)) {
+                state->on_failure(now);
+            }
+        }
+    } else if (owner.lost) {
+        outcome = *owner.lost;
+    }
+    const auto& entry = services_.at(owner.info.service);
+    const auto wait = std::max(expected_wait(entry), default_retry_after);
+    end_call(owner.info.id, outcome, wait, out);
+}
+
+bool dispatcher::try_hedge(service_entry& entry, call_entry& owner,
+                           time_point now, actions& out) {
+    owner.hedged = true;
+    if (owner.tried.size() >= entry.servers.size() ||
+        !entry.hedges.try_take()) {
+        return false;
+    }
+    return place(entry, owner, true, now, out);
+}
+
+dispatcher::actions dispatcher::refuse_waiting(not_run_reason reason) {
+    actions out;
+    for (auto& [name, entry] : services_) {
+        for (const auto id : entry.queue.in_order()) {
+            const auto& owner = calls_.at(id);
+            const verdict outcome =
+                owner.lost ? verdict{*owner.lost} : verdict{not_run{reason}};
+            end_call(id, outcome, default_retry_after, out);
+        }
+    }
+    return out;
+}
+
+server_state* dispatcher::find_server(const server_key& key) {
+    const auto found = services_.find(key.service);
+    if (found == services_.end()) {
+        return nullptr;
+    }
+    auto& servers = found->second.servers;
+    const auto position = std::lower_bound(
+        servers.begin(), servers.end(), key,
+        [](const server_state& state, const server_key& wanted) {
+            return state.row().key < wanted;
+        });
+    if (position == servers.end() || position->row().key != key) {
+        return nullptr;
+    }
+    return &*position;
+}
+
+std::vector<choice_record>
+dispatcher::recent_choices(std::string_view service) const {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return {};
+    }
+    return found->second.choices;
+}
+
+std::size_t dispatcher::waiting() const {
+    std::size_t count = 0;
+    for (const auto& [name, entry] : services_) {
+        count += entry.queue.size();
+    }
+    return count;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/membership.cpp
@@ -0,0 +1,188 @@
+#include "lacewingbeam/membership.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::size_t max_hearsay = 64;
+constexpr std::size_t max_members = 4096;
+
+// Moves `count` random elements to the front.
+void partial_shuffle(std::vector<std::string>& items, std::size_t count,
+                     random_engine& engine) {
+    for (std::size_t i = 0; i < count; ++i) {
+        boost::random::uniform_int_distribution<std::size_t> pick(
+            i, items.size() - 1);
+        std::swap(items[i], items[pick(engine)]);
+    }
+}
+
+} // namespace
+
+membership::membership(member own, membership_options options)
+    : own_(std::move(own)), options_(options) {}
+
+void membership::set_seeds(std::span<const std::string> peer_addresses) {
+    seeds_.assign(peer_addresses.begin(), peer_addresses.end());
+}
+
+void membership::set_listed(std::span<const std::string> peer_addresses) {
+    listed_.assign(peer_addresses.begin(), peer_addresses.end());
+}
+
+bool membership::on_heartbeat(const member& sender, std::uint64_t sequence,
+                              time_point now) {
+    if (sender.id == own_.id) {
+        return false;
+    }
+    const auto known = records_.find(sender.id);
+    if (known == records_.end()) {
+        if (records_.size() >= max_members) {
+            return false;
+        }
+        // A new life at an address ends the one before it.
+        std::erase_if(records_, [&](const auto& item) {
+            return item.second.info.peer_address == sender.peer_address;
+        });
+        records_.emplace(sender.id, record{sender, sequence, now});
+        return true;
+    }
+    if (sequence <= known->second.sequence) {
+        return false;
+    }
+    known->second = record{sender, sequence, now};
+    return true;
+}
+
+void membership::on_hearsay(std::span<const member> members, time_point now) {
+    for (const auto& told : members) {
+        const bool known = told.id == own_.id || records_.contains(told.id) ||
+                           told.peer_address == own_.peer_address;
+        const bool fresh = told.age <= options_.gone_after;
+        if (known || !fresh || hearsay_.size() >= max_hearsay) {
+            continue;
+        }
+        hearsay_[told.id] = record{told, 0, now - told.age};
+    }
+}
+
+bool membership::address_known(const std::string& peer_address) const {
+    return std::any_of(records_.begin(), records_.end(), [&](const auto& item) {
+        return item.second.info.peer_address == peer_address;
+    });
+}
+
+void membership::expire(time_point now) {
+    const auto is_gone = [&](const auto& item) {
+        return now - item.second.heard_at > options_.gone_after;
+    };
+    std::erase_if(records_, is_gone);
+    std::erase_if(hearsay_, [&](const auto& item) {
+        return is_gone(item) || records_.contains(item.first);
+    });
+}
+
+std::vector<std::string> membership::strangers() const {
+    std::vector<std::string> addresses = seeds_;
+    addresses.insert(addresses.end(), listed_.begin(), listed_.end());
+    for (const auto& [id, item] : hearsay_) {
+        addresses.push_back(item.info.peer_address);
+    }
+    std::erase_if(addresses, [&](const std::string& address) {
+        return address == own_.peer_address || address_known(address);
+    });
+    return addresses;
+}
+
+std::vector<std::string>
+membership::heartbeat_targets(random_engine& engine, time_point now) {
+    expire(now);
+    std::vector<std::string> targets;
+    for (const auto& [id, item] : records_) {
+        targets.push_back(item.info.peer_address);
+    }
+    const auto count = std::min(options_.fan_out, targets.size());
+    partial_shuffle(targets, count, engine);
+    targets.resize(count);
+    const auto unknown = strangers();
+    const auto contacts = std::min(options_.fan_out, unknown.size());
+    for (std::size_t i = 0; i < contacts; ++i) {
+        targets.push_back(unknown[next_contact_++ % unknown.size()]);
+    }
+    return targets;
+}
+
+member membership::described(const record& value, time_point now) const {
+    member info = value.info;
+    info.age = now - value.heard_at;
+    if (info.state == member_state::alive &&
+        info.age > options_.suspect_after) {
+        info.state = member_state::suspected;
+    }
+    return info;
+}
+
+bool membership::is_active(const record& value, time_point now) const {
+    return described(value, now).state == member_state::alive;
+}
+
+std::vector<member> membership::digest(std::size_t limit,
+                                       time_point now) const {
+    auto known = members(now);
+    std::sort(known.begin(), known.end(),
+              [](const member& a, const member& b) { return a.age < b.age; });
+    known.resize(std::min(limit, known.size()));
+    return known;
+}
+
+std::optional<member> membership::find(const incarnation& id,
+                                       time_point now) const {
+    const auto found = records_.find(id);
+    if (found != records_.end()) {
+        return described(found->second, now);
+    }
+    const auto told = hearsay_.find(id);
+    if (told == hearsay_.end()) {
+        return std::nullopt;
+    }
+    auto info = described(told->second, now);
+    info.state = member_state::suspected;
+    return info;
+}
+
+std::vector<member> membership::members(time_point now) const {
+    std::vector<member> all;
+    for (const auto& [id, item] : records_) {
+        all.push_back(described(item, now));
+    }
+    return all;
+}
+
+std::size_t membership::active_count(time_point now) const {
+    std::size_t count = 1;
+    for (const auto& [id, item] : records_) {
+        count += is_active(item, now) ? 1 : 0;
+    }
+    return count;
+}
+
+std::size_t membership::own_rank(time_point now) const {
+    std::size_t rank = 0;
+    for (const auto& [id, item] : records_) {
+        rank += id < own_.id && is_active(item, now) ? 1 : 0;
+    }
+    return rank;
+}
+
+bool membership::cut_off(time_point now) const {
+    return !records_.empty() &&
+           std::none_of(
+               records_.begin(), records_.end(), [&](const auto& item) {
+                   return now - item.second.heard_at <= options_.suspect_after;
+               });
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/server_state.cpp
@@ -0,0 +1,168 @@
+#include "lacewingbeam/server_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A report says little about a server after this time.
+constexpr duration report_half_life = milliseconds(50);
+
+// Peers' counts come in every heartbeat round.
+constexpr duration peers_half_life = milliseconds(500);
+
+// A server that shed work is taken to be full for this long.
+constexpr duration full_after_shed = milliseconds(20);
+
+// Failures are forgotten by half in this time.
+constexpr duration failure_half_life = seconds(2);
+
+// A server new to the table gets its full share after this time.
+constexpr duration slow_start = seconds(5);
+constexpr double slow_start_penalty = 3;
+
+// A leaving signal counts until it has not been repeated for this long.
+constexpr duration leaving_memory = seconds(30);
+
+constexpr double latency_gain = 0.2;
+constexpr double penalty_per_failure = 4;
+constexpr double max_failures = 8;
+constexpr double probe_burst = 1;
+
+double decay(duration age, duration half_life) {
+    const double halves = to_ms(age) / to_ms(half_life);
+    return std::exp2(-std::max(0.0, halves));
+}
+
+} // namespace
+
+server_state::server_state(const server_row& row, time_point now)
+    : row_(row), failed_at_(now), reported_at_(now), peers_at_(now),
+      full_until_(now), heard_at_(now), added_at_(now),
+      probes_(0, probe_burst, now) {}
+
+void server_state::set_row(const server_row& row, time_point now) {
+    if (row.address != row_.address) {
+        added_at_ = now;
+        leaving_at_.reset();
+    }
+    row_ = row;
+}
+
+void server_state::on_sent(work_length length, time_point) {
+    ++in_flight_;
+    if (length == work_length::long_work) {
+        ++long_in_flight_;
+    }
+}
+
+void server_state::on_ended(work_length length) {
+    // A server that left the table and came back starts from zero.
+    if (in_flight_ > 0) {
+        --in_flight_;
+    }
+    if (length == work_length::long_work && long_in_flight_ > 0) {
+        --long_in_flight_;
+    }
+}
+
+void server_state::on_answer(duration latency, work_length length,
+                             time_point now) {
+    heard_at_ = now;
+    if (length == work_length::long_work) {
+        return;
+    }
+    const double sample = to_ms(latency);
+    latency_ms_ = latency_ms_ == 0
+                      ? sample
+                      : latency_ms_ + latency_gain * (sample - latency_ms_);
+}
+
+void server_state::on_failure(time_point now) {
+    const double left = failures_ * decay(now - failed_at_, failure_half_life);
+    failures_ = std::min(max_failures, left + 1);
+    failed_at_ = now;
+    heard_at_ = now;
+}
+
+void server_state::on_shed(time_point now) {
+    full_until_ = now + full_after_shed;
+    heard_at_ = now;
+}
+
+void server_state::on_report(const load_report& report, time_point now) {
+    // The report was made before this reply, so it counts the request that
+    // it came with as gone; what is left beyond our own is others'.
+    reported_others_ =
+        std::max(0.0, report.in_flight + report.queued - in_flight_);
+    reported_at_ = now;
+    heard_at_ = now;
+    if (report.queued == 0) {
+        full_until_ = std::min(full_until_, now);
+    }
+}
+
+void server_state::set_peer_load(const peer_load& load, time_point now) {
+    peers_ = load;
+    peers_at_ = now;
+}
+
+void server_state::mark_leaving(time_point when) {
+    leaving_at_ = leaving_at_ ? std::max(*leaving_at_, when) : when;
+}
+
+void server_state::clear_leaving() { leaving_at_.reset(); }
+
+bool server_state::is_leaving(time_point now) const {
+    return row_.leaving || leaving_age(now).has_value();
+}
+
+std::optional<duration> server_state::leaving_age(time_point now) const {
+    if (!leaving_at_ || now - *leaving_at_ > leaving_memory) {
+        return std::nullopt;
+    }
+    return std::max(duration::zero(), now - *leaving_at_);
+}
+
+double server_state::remote_load(time_point now) const {
+    const double by_report =
+        reported_others_ * decay(now - reported_at_, report_half_life);
+    const double by_peers =
+        peers_.in_flight * decay(now - peers_at_, peers_half_life);
+    // The fresher source decides: reports outweigh peers while young.
+    return by_report + by_peers * (1 - decay(now - reported_at_,
+                                             report_half_life));
+}
+
+double server_state::estimated_load(time_point now) const {
+    const double load = in_flight_ + remote_load(now);
+    return now < full_until_ ? std::max<double>(load, row_.slots) : load;
+}
+
+double server_state::estimated_long(time_point now) const {
+    return long_in_flight_ +
+           peers_.long_in_flight * decay(now - peers_at_, peers_half_life);
+}
+
+double server_state::penalty(time_point now) const {
+    const double failures =
+        failures_ * decay(now - failed_at_, failure_half_life);
+    double factor = 1 + penalty_per_failure * failures;
+    const auto since_added = now - added_at_;
+    if (since_added < slow_start) {
+        const double left = 1 - to_ms(since_added) / to_ms(slow_start);
+        factor += slow_start_penalty * left;
+    }
+    return factor;
+}
+
+bool server_state::silent_for(duration age, time_point now) const {
+    return now - heard_at_ >= age;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/entry/admin_api.hpp
@@ -0,0 +1,41 @@
+#ifndef LACEWINGBEAM_ENTRY_ADMIN_API_HPP
+#define LACEWINGBEAM_ENTRY_ADMIN_API_HPP
+
+#include "../adapters/http_listener.hpp"
+#include "../adapters/metrics.hpp"
+#include "../adapters/peer_link.hpp"
+#include "../adapters/trace_recorder.hpp"
+#include "lacewingbeam/coordinator.hpp"
+
+#include <memory>
+#include <string>
+
+// The operators' side of an instance: metrics, readiness and its state as
+// JSON.
+namespace lacewingbeam {
+
+class admin_api {
+public:
+    admin_api(event_loop& loop, coordinator& decisions, metrics& counts,
+              const trace_recorder& traces, const peer_link& peers);
+
+    void on_request(const std::shared_ptr<incoming_request>& incoming);
+
+private:
+    void answer(incoming_request& incoming);
+    void answer_metrics(incoming_request& incoming);
+    void answer_status(incoming_request& incoming);
+    void answer_peers(incoming_request& incoming);
+    void answer_servers(incoming_request& incoming);
+    void answer_explain(incoming_request& incoming, const std::string& service);
+
+    event_loop& loop_;
+    coordinator& decisions_;
+    metrics& counts_;
+    const trace_recorder& traces_;
+    const peer_link& peers_;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/entry/answers.hpp
@@ -0,0 +1,27 @@
+#ifndef LACEWINGBEAM_ENTRY_ANSWERS_HPP
+#define LACEWINGBEAM_ENTRY_ANSWERS_HPP
+
+#include "../adapters/http_types.hpp"
+#include "lacewingbeam/verdict.hpp"
+
+#include <string>
+
+// The answers that an instance gives itself, as docs/INTERFACE.md lists
+// them.
+namespace lacewingbeam {
+
+struct own_answer {
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+
+// The HTTP status for a verdict other than completed.
+int status_of(const verdict& outcome);
+
+// An error as application/problem+json (RFC 9457) with the verdict in it.
+own_answer make_error(const verdict& outcome, duration retry_after);
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/entry/call_gateway.hpp
@@ -0,0 +1,117 @@
+#ifndef LACEWINGBEAM_ENTRY_CALL_GATEWAY_HPP
+#define LACEWINGBEAM_ENTRY_CALL_GATEWAY_HPP
+
+#include "../adapters/connection_pool.hpp"
+#include "../adapters/http_listener.hpp"
+#include "../adapters/metrics.hpp"
+#include "../adapters/trace_recorder.hpp"
+#include "call_request.hpp"
+#include "lacewingbeam/coordinator.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+// Carries calls: HTTP requests from callers to the coordinator's decisions,
+// and its actions to backend servers and peers.
+namespace lacewingbeam {
+
+struct gateway_options {
+    std::string key;
+    std::size_t max_buffered_answer = 262144;
+    std::size_t max_recorded_answer = 16384;
+    duration proven_alive = std::chrono::seconds(2);
+};
+
+class call_gateway {
+public:
+    call_gateway(event_loop& loop, connection_pool& pool,
+                 coordinator& decisions, metrics& counts,
+                 trace_recorder& traces, gateway_options options);
+
+    // A request arrived on the callers' port.
+    void on_request(std::shared_ptr<incoming_request> incoming);
+
+    // Actions of the coordinator that concern calls.
+    void run(const start_attempt& order);
+    void run(const cancel_attempt& order);
+    void run(const deliver_answer& order);
+    void run(const finish_call& order);
+    void run(const forward_call& order);
+    void run(const replay_answer& order);
+
+    // Decisions made here that are for others to carry out too.
+    sigc::signal<void(coordinator::actions&)> decided;
+
+    std::size_t calls() const { return calls_.size(); }
+
+private:
+    struct active_call {
+        std::shared_ptr<incoming_request> incoming; // null: caller gone
+        call_request request;
+        time_point arrived;
+        trace_context trace;
+        std::optional<attempt_id> delivering;
+        std::optional<exchange_id> forward;
+        header_list forward_headers;
+        bool forward_refused = false;
+    };
+
+    struct active_attempt {
+        call_id call{};
+        server_key server;
+        exchange_id exchange{};
+        trace_context trace;
+        time_point started;
+        http_answer_head head;
+        std::string spooled; // not yet passed on
+        std::string recorded;
+        bool recording = false;
+        bool discarding = false; // the backend server refused the work
+        bool reported = false;   // the coordinator knows of the head
+        bool passing = false;    // goes to the caller
+        bool ended = false;
+    };
+
+    void decide(coordinator::actions actions);
+    void answer_tickets(incoming_request& incoming);
+    void begin_call(std::shared_ptr<incoming_request> incoming,
+                    call_request request);
+    void watch_caller(call_id id, incoming_request& incoming);
+    http_request make_request(const active_call& call,
+                              const start_attempt& order,
+                              const trace_context& trace) const;
+    exchange_events make_events(attempt_id id);
+    void on_head(attempt_id id, const http_answer_head& head);
+    void on_body(attempt_id id, std::string_view piece);
+    void on_end(attempt_id id);
+    void on_failed(attempt_id id, const exchange_failure& failure);
+    void note_report(const active_attempt& attempt);
+    void report_head(attempt_id id);
+    void end_attempt(attempt_id id, const attempt_result& result);
+    void pass_on(active_call& call, exchange_id source,
+                 std::string_view piece);
+    header_list answer_headers(const active_call& call,
+                               const http_answer_head& head) const;
+    void start_passing(active_call& call, const http_answer_head& head);
+    void finish_completed(active_call& call);
+    void finish_with_error(active_call& call, const finish_call& order);
+    void on_forward_head(call_id id, const http_answer_head& head);
+    void on_forward_end(call_id id, const forward_result& result);
+    void record_span(const active_call& call, const verdict& outcome);
+    void record_span(const active_attempt& attempt, std::string outcome);
+
+    event_loop& loop_;
+    connection_pool& pool_;
+    coordinator& decisions_;
+    metrics& counts_;
+    trace_recorder& traces_;
+    gateway_options options_;
+    std::uint64_t next_call_ = 1;
+    std::map<call_id, active_call> calls_;
+    std::map<attempt_id, active_attempt> attempts_;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/entry/call_request.cpp
@@ -0,0 +1,127 @@
+#include "call_request.hpp"
+
+#include "forward_token.hpp"
+#include "header_names.hpp"
+
+#include <charconv>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::int64_t max_timeout_ms = 3600'000;
+
+// Fields that are for the instance and not passed on.
+bool is_own_field(std::string_view name) {
+    for (const auto own :
+         {header::ticket, header::want_ticket, header::forwarded,
+          header::timeout_ms, header::traceparent, header::verdict}) {
+        if (equal_ignoring_case(name, own)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string text_of(const header_list& headers, std::string_view name) {
+    return std::string(find_header(headers, name).value_or(""));
+}
+
+// False if the header is there but unusable.
+bool read_timeout(const header_list& headers, arriving_call& arriving) {
+    const auto text = find_header(headers, header::timeout_ms);
+    if (!text) {
+        return true;
+    }
+    std::int64_t value = 0;
+    const char* end = text->data() + text->size();
+    const auto result = std::from_chars(text->data(), end, value);
+    if (result.ec != std::errc{} || result.ptr != end || value < 1 ||
+        value > max_timeout_ms) {
+        return false;
+    }
+    arriving.time_left = std::chrono::milliseconds(value);
+    return true;
+}
+
+// Splits "/service/rest?query".
+bool read_target(std::string_view target, call_request& call) {
+    if (!target.starts_with('/')) {
+        return false;
+    }
+    const auto path_end = std::min(target.find('?'), target.size());
+    const auto slash = std::min(target.find('/', 1), path_end);
+    call.arriving.service = target.substr(1, slash - 1);
+    call.arriving.path = target.substr(slash, path_end - slash);
+    if (call.arriving.path.empty()) {
+        call.arriving.path = "/";
+    }
+    call.outgoing.target = call.arriving.path;
+    call.outgoing.target += target.substr(path_end);
+    return !call.arriving.service.empty();
+}
+
+std::uint64_t fingerprint_of(const call_request& call) {
+    std::string content = call.arriving.method;
+    content += ' ';
+    content += call.target;
+    content += '\n';
+    content += call.outgoing.body;
+    return hash(content);
+}
+
+void copy_passed_headers(const incoming_request& incoming,
+                         call_request& call) {
+    for (const auto& field : call.headers) {
+        if (!is_hop_by_hop(field.name) && !is_own_field(field.name)) {
+            call.outgoing.headers.push_back(field);
+        }
+    }
+    call.outgoing.headers.push_back(
+        {std::string(header::forwarded_for), incoming.peer_address()});
+}
+
+} // namespace
+
+std::variant<call_request, bad_call>
+read_call_request(const incoming_request& incoming, std::string_view key) {
+    call_request call;
+    call.target = incoming.target();
+    call.headers = incoming.headers();
+    call.arriving.method = method_name(incoming.method());
+    if (call.arriving.method.empty()) {
+        return bad_call{"the method is not supported"};
+    }
+    if (!read_target(call.target, call)) {
+        return bad_call{"the path must be /service/..."};
+    }
+    if (!read_timeout(call.headers, call.arriving)) {
+        return bad_call{std::string(header::timeout_ms) +
+                        " must be a whole number from 1 to " +
+                        std::to_string(max_timeout_ms)};
+    }
+    const auto forwarded = find_header(call.headers, header::forwarded);
+    if (forwarded) {
+        call.forwarded_to = read_forward_token(*forwarded, call.target, key);
+        if (!call.forwarded_to) {
+            return bad_call{std::string(header::forwarded) + " is not valid"};
+        }
+        call.arriving.forwarded = true;
+    }
+    call.outgoing.method = incoming.method();
+    call.outgoing.body = incoming.body();
+    call.arriving.ticket = text_of(call.headers, header::ticket);
+    call.arriving.idempotency_key =
+        text_of(call.headers, header::idempotency_key);
+    call.arriving.fingerprint = fingerprint_of(call);
+    call.wants_ticket = !call.arriving.ticket.empty() ||
+                        find_header(call.headers, header::want_ticket);
+    const auto parent = find_header(call.headers, header::traceparent);
+    if (parent) {
+        call.parent = parse_traceparent(*parent);
+    }
+    copy_passed_headers(incoming, call);
+    return call;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,337 @@
+#include "entry_process.hpp"
+
+#include "../adapters/event_log.hpp"
+#include "header_names.hpp"
+#include "lacewingbeam/endpoint.hpp"
+#include "load_report.hpp"
+
+#include <boost/algorithm/string.hpp>
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration tick_interval = milliseconds(2);
+constexpr duration watch_interval = milliseconds(250);
+constexpr std::size_t min_key_size = 16;
+constexpr std::size_t max_probe_body = 4096;
+constexpr std::string_view load_path = "/load";
+constexpr std::size_t connections_per_probe = 64;
+
+std::uint64_t draw_seed() {
+    std::random_device device;
+    constexpr unsigned half = 32;
+    return (std::uint64_t{device()} << half) | device();
+}
+
+std::string read_key(const std::string& path) {
+    if (path.empty()) {
+        throw error("[peers] key_file must be given: it authenticates peers' "
+                    "messages and tickets");
+    }
+    std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    auto key = content.str();
+    boost::algorithm::trim(key);
+    if (!file || key.size() < min_key_size) {
+        throw error("key file " + path + " must hold a key of at least " +
+                    std::to_string(min_key_size) + " bytes");
+    }
+    return key;
+}
+
+std::vector<std::string> split_seeds(const std::string& text) {
+    std::vector<std::string> seeds;
+    if (!text.empty()) {
+        boost::algorithm::split(seeds, text, [](char c) { return c == ','; });
+    }
+    for (auto& seed : seeds) {
+        boost::algorithm::trim(seed);
+    }
+    return seeds;
+}
+
+pool_options make_pool_options(const settings::entry_settings& values) {
+    pool_options options;
+    options.connect_timeout = milliseconds(values.backend.connect_timeout);
+    options.stall_timeout = milliseconds(values.backend.stall_timeout);
+    options.idle_timeout = milliseconds(values.backend.idle_timeout);
+    return options;
+}
+
+listener_limits make_limits(const settings::entry_settings& values) {
+    listener_limits limits;
+    limits.max_header_bytes =
+        static_cast<std::size_t>(values.limits.max_header_bytes);
+    limits.max_body_bytes =
+        static_cast<std::size_t>(values.limits.max_body_bytes);
+    limits.idle_timeout = seconds(values.limits.idle_caller_timeout);
+    return limits;
+}
+
+gateway_options make_gateway_options(const settings::entry_settings& values,
+                                     const std::string& key) {
+    gateway_options options;
+    options.key = key;
+    options.max_buffered_answer =
+        static_cast<std::size_t>(values.limits.max_buffered_answer);
+    options.max_recorded_answer =
+        static_cast<std::size_t>(values.limits.max_recorded_answer);
+    options.proven_alive = milliseconds(values.backend.proven_alive);
+    return options;
+}
+
+coordinator_options make_options(const settings::entry_settings& values,
+                                 const std::string& key, std::uint64_t seed) {
+    coordinator_options options;
+    options.dispatch.policy = parse_policy(values.backend.policy);
+    options.dispatch.retry_percent = values.backend.retry_percent;
+    options.dispatch.hedge_percent = values.backend.hedge_percent;
+    options.dispatch.failure_domain = values.instance.failure_domain;
+    options.members.suspect_after = milliseconds(values.peers.suspect_after);
+    options.members.gone_after = milliseconds(values.peers.gone_after);
+    options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
+    options.ledger.operations =
+        static_cast<std::size_t>(values.limits.max_operations);
+    options.key = key;
+    options.ticket_lifetime = seconds(values.tickets.lifetime);
+    options.retention = seconds(values.tickets.retention);
+    options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
+    options.writes_per_second = values.platform.writes_per_second;
+    options.max_calls = static_cast<std::size_t>(values.limits.max_calls);
+    options.seed = seed;
+    random_engine engine(seed);
+    options.own.id = draw_incarnation(engine);
+    options.own.failure_domain = values.instance.failure_domain;
+    return options;
+}
+
+} // namespace
+
+entry_process::entry_process(const settings::entry_settings& values)
+    : settings_(values), key_(read_key(values.peers.key_file)),
+      pool_(loop_, make_pool_options(values)),
+      callers_(loop_, values.instance.address,
+               static_cast<std::uint16_t>(values.instance.caller_port),
+               make_limits(values)),
+      admins_(loop_, values.instance.address,
+              static_cast<std::uint16_t>(values.instance.admin_port),
+              make_limits(values)),
+      peers_(loop_, values.instance.address,
+             static_cast<std::uint16_t>(values.instance.peer_port), key_),
+      traces_(draw_seed(), static_cast<unsigned>(values.log.trace_sample)) {
+    const auto& ip = values.instance.address;
+    auto options = make_options(values, key_, draw_seed());
+    options.own.peer_address = to_string(endpoint{ip, peers_.port()});
+    options.own.caller_address = to_string(endpoint{ip, callers_.port()});
+    options.own.admin_address = to_string(endpoint{ip, admins_.port()});
+    decisions_.emplace(std::move(options), loop_.now());
+    decisions_->set_seeds(split_seeds(values.peers.seeds));
+    platform_.emplace(loop_, pool_, values.platform.address,
+                      milliseconds(values.platform.request_timeout));
+    gateway_.emplace(loop_, pool_, *decisions_, counts_, traces_,
+                     make_gateway_options(values, key_));
+    sync_.emplace(loop_, *platform_, *decisions_, counts_,
+                  milliseconds(values.platform.poll_interval));
+    admin_.emplace(loop_, *decisions_, counts_, traces_, peers_);
+    const auto carry_out = [this](coordinator::actions& actions) {
+        run_actions(actions);
+    };
+    gateway_->decided.connect(carry_out);
+    sync_->decided.connect(carry_out);
+    callers_.request.connect([this](std::shared_ptr<incoming_request> one) {
+        gateway_->on_request(std::move(one));
+    });
+    admins_.request.connect([this](std::shared_ptr<incoming_request> one) {
+        admin_->on_request(one);
+    });
+    peers_.received.connect(
+        [this](const std::string& from, const peer_message& message) {
+            auto actions = decisions_->on_message(from, message, loop_.now());
+            run_actions(actions);
+        });
+    peers_.dropped.connect(
+        [](const std::string& from, const std::string& why) {
+            log_event(event_number::peer_message_dropped,
+                      {{"from", from}, {"reason", why}});
+        });
+}
+
+std::string entry_process::ports_line() const {
+    const auto& own = decisions_->own();
+    return "listening caller=" + own.caller_address +
+           " admin=" + own.admin_address + " peer=" + own.peer_address;
+}
+
+void entry_process::run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    tick_timer_ = loop_.every(tick_interval, [this] { tick(); });
+    watch_timer_ = loop_.every(watch_interval, [this] {
+        watch_peers();
+        watch_table();
+    });
+    term_signal_ = loop_.on_signal(SIGTERM, [this] { begin_stop(); });
+    int_signal_ = loop_.on_signal(SIGINT, [this] { begin_stop(); });
+    const auto& own = decisions_->own();
+    log_event(event_number::started, {{"incarnation", to_string(own.id)},
+                                      {"caller", own.caller_address},
+                                      {"admin", own.admin_address},
+                                      {"peer", own.peer_address}});
+    loop_.run();
+    log_event(event_number::stopped, {});
+}
+
+void entry_process::begin_stop() {
+    log_event(event_number::stopping, {});
+    decisions_->begin_stop(loop_.now());
+}
+
+void entry_process::tick() {
+    auto actions = decisions_->on_tick(loop_.now());
+    run_actions(actions);
+    if (decisions_->may_exit(loop_.now()) && gateway_->calls() == 0) {
+        loop_.stop();
+    }
+}
+
+void entry_process::run_actions(coordinator::actions& actions) {
+    struct runner {
+        entry_process& self;
+
+        void operator()(const start_attempt& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const cancel_attempt& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const deliver_answer& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const finish_call& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const forward_call& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const replay_answer& order) const {
+            self.gateway_->run(order);
+        }
+        void operator()(const write_claims& order) const {
+            self.sync_->run(order);
+        }
+        void operator()(const read_claim& order) const {
+            self.sync_->run(order);
+        }
+        void operator()(const write_journal& order) const {
+            self.sync_->run(order);
+        }
+        void operator()(const read_journal& order) const {
+            self.sync_->run(order);
+        }
+        void operator()(const probe_server& order) const { self.run(order); }
+        void operator()(const send_message& order) const { self.run(order); }
+    };
+    for (const auto& item : actions) {
+        std::visit(runner{*this}, item);
+    }
+}
+
+void entry_process::run(const send_message& order) {
+    peers_.send(order.peer_address, order.message);
+}
+
+void entry_process::run(const probe_server& order) {
+    counts_.count_probe(order.server.service);
+    probe(order.server, order.address);
+}
+
+void entry_process::probe(const server_key& server,
+                          const std::string& address) {
+    struct probe_answer {
+        int status = 0;
+        bool draining = false;
+        std::string body;
+    };
+    const auto answer = std::make_shared<probe_answer>();
+    http_request request;
+    request.target = load_path;
+    exchange_events events;
+    events.head = [answer](const http_answer_head& head) {
+        answer->status = head.status;
+        answer->draining =
+            find_header(head.headers, header::draining).has_value();
+    };
+    events.body = [answer](std::string_view piece) {
+        if (answer->body.size() + piece.size() <= max_probe_body) {
+            answer->body += piece;
+        }
+    };
+    events.end = [this, server, answer] {
+        take_probe_answer(server, answer->status, answer->draining,
+                          answer->body);
+    };
+    events.failed = [this, server](const exchange_failure&) {
+        decisions_->on_probe_failed(server, loop_.now());
+    };
+    pool_.start(address, request, {connections_per_probe, duration::max()},
+                std::move(events));
+}
+
+void entry_process::take_probe_answer(const server_key& server, int status,
+                                      bool draining, const std::string& body) {
+    constexpr int status_ok = 200;
+    const auto report = parse_load_json(body);
+    if (status == status_ok && report) {
+        decisions_->on_report(server, *report, draining, loop_.now());
+    } else {
+        decisions_->on_probe_failed(server, loop_.now());
+    }
+}
+
+void entry_process::watch_peers() {
+    std::map<incarnation, member> present;
+    for (auto& peer : decisions_->peers(loop_.now())) {
+        present.emplace(peer.id, std::move(peer));
+    }
+    for (const auto& [id, peer] : present) {
+        const auto before = known_peers_.find(id);
+        if (before == known_peers_.end()) {
+            log_event(event_number::peer_joined,
+                      {{"incarnation", to_string(id)},
+                       {"address", peer.peer_address}});
+        } else if (peer.state == member_state::suspected &&
+                   before->second.state != member_state::suspected) {
+            log_event(event_number::peer_suspected,
+                      {{"incarnation", to_string(id)},
+                       {"address", peer.peer_address}});
+        }
+    }
+    for (const auto& [id, peer] : known_peers_) {
+        if (!present.contains(id)) {
+            log_event(event_number::peer_gone,
+                      {{"incarnation", to_string(id)},
+                       {"address", peer.peer_address}});
+        }
+    }
+    known_peers_ = std::move(present);
+}
+
+void entry_process::watch_table() {
+    const bool confirmed = decisions_->status(loop_.now()).table_confirmed;
+    if (confirmed != confirmed_) {
+        confirmed_ = confirmed;
+        log_event(confirmed ? event_number::table_confirmed
+                            : event_number::table_unconfirmed,
+                  {});
+    }
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/entry/forward_token.cpp
@@ -0,0 +1,63 @@
+#include "forward_token.hpp"
+
+#include "lacewingbeam/ticket.hpp"
+
+#include <boost/algorithm/hex.hpp>
+#include <iterator>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::string_view forward_context = "lacewingbeam forward 1\n";
+
+std::string code_text(const incarnation& owner, std::string_view target,
+                      std::string_view key) {
+    std::string content(forward_context);
+    content += to_string(owner);
+    content += target;
+    const auto code = authenticate(key, content);
+    std::string text;
+    boost::algorithm::hex_lower(code, std::back_inserter(text));
+    return text;
+}
+
+} // namespace
+
+std::string make_forward_token(const incarnation& owner,
+                               std::string_view target, std::string_view key) {
+    return to_string(owner) + "." + code_text(owner, target, key);
+}
+
+std::optional<incarnation> read_forward_token(std::string_view token,
+                                              std::string_view target,
+                                              std::string_view key) {
+    const auto dot = token.find('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto owner = parse_incarnation(token.substr(0, dot));
+    if (!owner) {
+        return std::nullopt;
+    }
+    const auto given = token.substr(dot + 1);
+    const auto expected = code_text(*owner, target, key);
+    // The texts are codes of a public message; only their equality counts.
+    authentication_code a{};
+    authentication_code b{};
+    if (given.size() != expected.size() || given.size() != 2 * a.size()) {
+        return std::nullopt;
+    }
+    try {
+        boost::algorithm::unhex(given.begin(), given.end(), a.begin());
+    } catch (const boost::algorithm::hex_decode_error&) {
+        return std::nullopt;
+    }
+    boost::algorithm::unhex(expected.begin(), expected.end(), b.begin());
+    if (!equal(a, b)) {
+        return std::nullopt;
+    }
+    return owner;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/entry/platform_sync.cpp
@@ -0,0 +1,217 @@
+#include "platform_sync.hpp"
+
+#include "../adapters/event_log.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace lacewingbeam {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::string_view claimant_cell = "claimant";
+constexpr std::string_view nonce_cell = "nonce";
+constexpr std::string_view answer_cell = "answer";
+
+raw_row make_claim_row(const claim& value) {
+    raw_row row;
+    row.key = value.key;
+    row.cells = {{std::string(claimant_cell), to_string(value.claimant)},
+                 {std::string(nonce_cell), value.nonce}};
+    return row;
+}
+
+// A row that nobody can have written as a claim counts as somebody else's.
+claim read_claim_row(const raw_row& row) {
+    const auto claimant = parse_incarnation(row.value_of(claimant_cell));
+    return {row.key, claimant.value_or(incarnation{}),
+            std::string(row.value_of(nonce_cell))};
+}
+
+raw_row make_journal_row(const journal_entry& entry) {
+    auto headers = json::array();
+    for (const auto& field : entry.answer.headers) {
+        headers.push_back({{"name", field.name}, {"value", field.value}});
+    }
+    const json answer{{"status", entry.answer.status},
+                      {"headers", std::move(headers)},
+                      {"body", json::binary_t(std::vector<std::uint8_t>(
+                                   entry.answer.body.begin(),
+                                   entry.answer.body.end()))}};
+    raw_row row;
+    row.key = entry.operation.text;
+    row.cells = {{std::string(answer_cell),
+                  answer.dump(-1, ' ', true, json::error_handler_t::replace)}};
+    return row;
+}
+
+std::optional<recorded_answer> read_journal_row(const raw_row& row) {
+    try {
+        const auto value = json::parse(row.value_of(answer_cell));
+        recorded_answer answer;
+        answer.status = value.at("status").get<int>();
+        for (const auto& field : value.at("headers")) {
+            answer.headers.push_back({field.at("name"), field.at("value")});
+        }
+        for (const auto& byte : value.at("body").at("bytes")) {
+            answer.body += static_cast<char>(byte.get<int>());
+        }
+        return answer;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+platform_sync::platform_sync(event_loop& loop, platform_client& platform,
+                             coordinator& decisions, metrics& counts,
+                             duration poll_interval)
+    : loop_(loop), platform_(platform), decisions_(decisions),
+      counts_(counts) {
+    timer_ = loop.every(poll_interval, [this] { poll(); });
+    loop.defer([this] { poll(); });
+}
+
+void platform_sync::decide(coordinator::actions actions) {
+    if (!actions.empty()) {
+        decided.emit(actions);
+    }
+}
+
+void platform_sync::poll() {
+    poll_table();
+    poll_instances();
+}
+
+void platform_sync::poll_table() {
+    if (table_pending_) {
+        return;
+    }
+    table_pending_ = true;
+    const auto asked_at = loop_.now();
+    const auto held = decisions_.table().version();
+    platform_.read_rows(
+        services_table, held,
+        [this, asked_at](const std::optional<table_page>& page) {
+            table_pending_ = false;
+            note_platform(page.has_value());
+            if (!page) {
+                decisions_.on_platform_failed(loop_.now());
+                return;
+            }
+            const auto before = decisions_.table().version();
+            const auto problems = decisions_.on_table(
+                page->rows, page->version, asked_at, loop_.now());
+            for (const auto& problem : problems) {
+                log_event(event_number::table_row_rejected,
+                          {{"problem", problem}});
+            }
+            if (decisions_.table().version() != before) {
+                log_event(event_number::table_changed,
+                          {{"version", std::to_string(page->version)},
+                           {"rows", std::to_string(page->rows.size())}});
+            }
+        });
+}
+
+void platform_sync::poll_instances() {
+    if (list_pending_) {
+        return;
+    }
+    list_pending_ = true;
+    platform_.read_instances(
+        [this](const std::optional<std::vector<listed_instance>>& list) {
+            list_pending_ = false;
+            counts_.count_platform_request("instances", list.has_value());
+            if (list) {
+                decisions_.on_instance_list(*list, loop_.now());
+            }
+        });
+}
+
+void platform_sync::note_platform(bool good) {
+    counts_.count_platform_request("table", good);
+    if (good == good_) {
+        return;
+    }
+    good_ = good;
+    log_event(good ? event_number::platform_recovered
+                   : event_number::platform_failed,
+              {});
+}
+
+void platform_sync::run(const write_claims& order) {
+    std::vector<row_write> writes;
+    for (const auto& item : order.batch.claims) {
+        writes.push_back({claims_table, make_claim_row(item)});
+    }
+    const auto number = order.batch.number;
+    platform_.write(writes, [this, number](const write_result& result) {
+        const auto now = loop_.now();
+        const bool answered = !std::holds_alternative<write_unknown>(result);
+        counts_.count_platform_request("claim", answered);
+        if (std::holds_alternative<write_committed>(result)) {
+            decide(decisions_.on_claims_committed(number, now));
+            return;
+        }
+        if (const auto* conflict = std::get_if<write_conflict>(&result)) {
+            std::vector<claim> existing;
+            for (const auto& row : conflict->existing) {
+                existing.push_back(read_claim_row(row));
+            }
+            decide(decisions_.on_claims_conflict(number, existing, now));
+            return;
+        }
+        log_event(event_number::claim_write_unknown,
+                  {{"problem", std::get<write_unknown>(result).problem}});
+        decide(decisions_.on_claims_unknown(number, now));
+    });
+}
+
+void platform_sync::run(const read_claim& order) {
+    const auto key = order.key;
+    platform_.read_row(claims_table, key, [this, key](const read_result& got) {
+        const auto now = loop_.now();
+        counts_.count_platform_request("claim_read", got.good);
+        if (!got.good) {
+            decide(decisions_.on_claim_read_failed(key, now));
+            return;
+        }
+        std::optional<claim> row;
+        if (got.row) {
+            row = read_claim_row(*got.row);
+        }
+        decide(decisions_.on_claim_read(key, row, now));
+    });
+}
+
+void platform_sync::run(const write_journal& order) {
+    std::vector<row_write> writes;
+    for (const auto& entry : order.entries) {
+        writes.push_back({journal_table, make_journal_row(entry), true});
+    }
+    platform_.write(writes, [this](const write_result& result) {
+        const bool good = std::holds_alternative<write_committed>(result);
+        counts_.count_platform_request("journal", good);
+        if (!good) {
+            log_event(event_number::journal_write_failed, {});
+        }
+    });
+}
+
+void platform_sync::run(const read_journal& order) {
+    const auto id = order.call;
+    platform_.read_row(
+        journal_table, order.operation.text, [this, id](const read_result& got) {
+            counts_.count_platform_request("journal_read", got.good);
+            std::optional<recorded_answer> answer;
+            if (got.good && got.row) {
+                answer = read_journal_row(*got.row);
+            }
+            decide(decisions_.on_journal(id, std::move(answer), loop_.now()));
+        });
+}
+
+} // namespace lacewingbeam
