--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -91,7 +91,8 @@
     const auto schema = nlohmann::json::parse(detail::settings_schema);
     std::vector<section_rule> sections;
     const auto& structs = schema.at("structs");
-    const auto find_struct = [&](const std::string& name) {
+    const auto find_struct =
+        [&](const std::string& name) -> const nlohmann::json& {
         return *std::find_if(
             structs.begin(), structs.end(),
             [&](const auto& item) { return item.at("name") == name; });
--- /dev/null
+++ b/test/standins/json_server.cpp
@@ -0,0 +1,244 @@
+#include "json_server.hpp"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <iostream>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace standin {
+
+namespace {
+
+std::function<void(request_ptr)> request_handler;
+
+struct delayed_call {
+    std::function<void()> function;
+};
+
+void run_delayed(evutil_socket_t, short, void* argument) {
+    const std::unique_ptr<delayed_call> call(
+        static_cast<delayed_call*>(argument));
+    call->function();
+}
+
+void take_request(evhttp_request* handle, void*) {
+    request_handler(std::make_shared<request>(handle));
+}
+
+void stop(evutil_socket_t, short, void*) { event_base_loopbreak(loop()); }
+
+void watch_signal(int number) {
+    auto* watch = evsignal_new(loop(), number, stop, nullptr);
+    event_add(watch, nullptr);
+}
+
+} // namespace
+
+event_base* loop() {
+    static event_base* const base = event_base_new();
+    return base;
+}
+
+void after(milliseconds delay, std::function<void()> function) {
+    timeval time{};
+    time.tv_sec = delay.count() / 1000;
+    time.tv_usec = (delay.count() % 1000) * 1000;
+    event_base_once(loop(), -1, EV_TIMEOUT, run_delayed,
+                    new delayed_call{std::move(function)}, &time);
+}
+
+request::request(evhttp_request* handle) : handle_(handle) {
+    auto* connection = evhttp_request_get_connection(handle);
+    evhttp_connection_set_closecb(connection, closed, this);
+    const int fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    watch_ = event_new(loop(), fd, EV_CLOSED, peer_closed, this);
+    event_add(watch_, nullptr);
+}
+
+request::~request() { drop(); }
+
+std::string request::method() const {
+    switch (evhttp_request_get_command(handle_)) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    default:
+        return "OTHER";
+    }
+}
+
+std::string request::path() const {
+    const auto* uri = evhttp_request_get_evhttp_uri(handle_);
+    const char* text = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+    return text == nullptr ? std::string("/") : std::string(text);
+}
+
+std::string request::query(const std::string& name) const {
+    const auto* uri = evhttp_request_get_evhttp_uri(handle_);
+    const char* text = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+    if (text == nullptr) {
+        return {};
+    }
+    evkeyvalq fields{};
+    evhttp_parse_query_str(text, &fields);
+    const char* value = evhttp_find_header(&fields, name.c_str());
+    std::string found = value == nullptr ? "" : value;
+    evhttp_clear_headers(&fields);
+    return found;
+}
+
+std::string request::header(const std::string& name) const {
+    const char* value = evhttp_find_header(
+        evhttp_request_get_input_headers(handle_), name.c_str());
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+std::string request::body() const {
+    auto* buffer = evhttp_request_get_input_buffer(handle_);
+    std::string content(evbuffer_get_length(buffer), '\0');
+    evbuffer_copyout(buffer, content.data(), content.size());
+    return content;
+}
+
+json request::body_json() const { return json::parse(body(), nullptr, false); }
+
+void request::add_header(const std::string& name, const std::string& value) {
+    if (handle_ != nullptr) {
+        evhttp_add_header(evhttp_request_get_output_headers(handle_),
+                          name.c_str(), value.c_str());
+    }
+}
+
+void request::release() {
+    if (watch_ != nullptr) {
+        event_free(watch_);
+        watch_ = nullptr;
+    }
+    auto* connection = evhttp_request_get_connection(handle_);
+    if (connection != nullptr) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+}
+
+void request::reply(int status, const std::string& body) {
+    if (handle_ == nullptr) {
+        return;
+    }
+    release();
+    auto* buffer = evbuffer_new();
+    evbuffer_add(buffer, body.data(), body.size());
+    evhttp_send_reply(handle_, status, nullptr, buffer);
+    evbuffer_free(buffer);
+    handle_ = nullptr;
+}
+
+void request::reply_json(int status, const json& body) {
+    add_header("Content-Type", "application/json");
+    reply(status, body.dump() + "\n");
+}
+
+void request::start(int status) {
+    if (handle_ != nullptr) {
+        evhttp_send_reply_start(handle_, status, nullptr);
+    }
+}
+
+void request::send(const std::string& piece) {
+    if (handle_ == nullptr) {
+        return;
+    }
+    auto* buffer = evbuffer_new();
+    evbuffer_add(buffer, piece.data(), piece.size());
+    evhttp_send_reply_chunk(handle_, buffer);
+    evbuffer_free(buffer);
+}
+
+void request::finish() {
+    if (handle_ == nullptr) {
+        return;
+    }
+    release();
+    evhttp_send_reply_end(handle_);
+    handle_ = nullptr;
+}
+
+void request::drop() {
+    if (handle_ == nullptr) {
+        return;
+    }
+    release();
+    auto* connection = evhttp_request_get_connection(handle_);
+    if (connection != nullptr) {
+        evhttp_connection_free(connection);
+    } else {
+        evhttp_request_free(handle_);
+    }
+    handle_ = nullptr;
+}
+
+void request::closed(evhttp_connection*, void* argument) {
+    auto* self = static_cast<request*>(argument);
+    if (self->handle_ == nullptr) {
+        return;
+    }
+    self->release();
+    self->handle_ = nullptr;
+    if (self->on_gone) {
+        self->on_gone();
+    }
+}
+
+void request::peer_closed(evutil_socket_t, short, void* argument) {
+    auto* self = static_cast<request*>(argument);
+    if (self->handle_ == nullptr) {
+        return;
+    }
+    self->drop();
+    if (self->on_gone) {
+        self->on_gone();
+    }
+}
+
+std::uint16_t serve(std::uint16_t port,
+                    std::function<void(request_ptr)> handler) {
+    request_handler = std::move(handler);
+    auto* server = evhttp_new(loop());
+    evhttp_set_allowed_methods(server, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                           EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                           EVHTTP_REQ_HEAD);
+    evhttp_set_gencb(server, take_request, nullptr);
+    auto* socket =
+        evhttp_bind_socket_with_handle(server, "127.0.0.1", port);
+    if (socket == nullptr) {
+        throw std::runtime_error("cannot listen on port " +
+                                 std::to_string(port));
+    }
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(evhttp_bound_socket_get_fd(socket),
+                reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void run(std::uint16_t port) {
+    std::signal(SIGPIPE, SIG_IGN);
+    watch_signal(SIGTERM);
+    watch_signal(SIGINT);
+    std::cout << "listening 127.0.0.1:" << port << std::endl;
+    event_base_dispatch(loop());
+}
+
+} // namespace standin
--- /dev/null
+++ b/test/standins/json_server.hpp
@@ -0,0 +1,79 @@
+#ifndef LACEWINGBEAM_TEST_STANDINS_JSON_SERVER_HPP
+#define LACEWINGBEAM_TEST_STANDINS_JSON_SERVER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+// A small HTTP server for the stand-ins. It shares nothing with the product,
+// so that a fault there cannot hide itself here.
+namespace standin {
+
+using json = nlohmann::json;
+using milliseconds = std::chrono::milliseconds;
+
+// The loop of a stand-in's process.
+event_base* loop();
+
+// Runs the function once, later.
+void after(milliseconds delay, std::function<void()> function);
+
+// A request that may be answered at any time, or never.
+class request {
+public:
+    explicit request(evhttp_request* handle);
+    ~request();
+    request(const request&) = delete;
+    request& operator=(const request&) = delete;
+
+    std::string method() const;
+    std::string path() const; // decoded, without the query
+    std::string query(const std::string& name) const;
+    std::string header(const std::string& name) const;
+    std::string body() const;
+    json body_json() const; // discarded value if malformed
+
+    void add_header(const std::string& name, const std::string& value);
+    void reply(int status, const std::string& body);
+    void reply_json(int status, const json& body);
+
+    void start(int status);
+    void send(const std::string& piece);
+    void finish();
+
+    // Closes the connection without a word.
+    void drop();
+
+    bool is_open() const { return handle_ != nullptr; }
+
+    // Called when the other side goes away first.
+    std::function<void()> on_gone;
+
+private:
+    static void closed(evhttp_connection*, void* argument);
+    static void peer_closed(evutil_socket_t, short, void* argument);
+    void release();
+
+    evhttp_request* handle_;
+    event* watch_ = nullptr;
+};
+
+using request_ptr = std::shared_ptr<request>;
+
+// Serves every request on 127.0.0.1:port (0: any) with the handler. Returns
+// the port.
+std::uint16_t serve(std::uint16_t port,
+                    std::function<void(request_ptr)> handler);
+
+// Prints "listening 127.0.0.1:PORT", then runs until SIGTERM or SIGINT.
+void run(std::uint16_t port);
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/test/standins/platform.cpp
@@ -0,0 +1,331 @@
+#include "json_server.hpp"
+
+#include <deque>
+#include <iostream>
+#include <optional>
+#include <tclap/CmdLine.h>
+#include <vector>
+
+// Stands in for the platform: transactional table service, object store and
+// lagging instance list, with faults on command. See docs/PLATFORM.md.
+namespace {
+
+using standin::json;
+using standin::milliseconds;
+using standin::request_ptr;
+using steady = std::chrono::steady_clock;
+
+constexpr int ok = 200;
+constexpr int bad_request = 400;
+constexpr int not_found = 404;
+constexpr int conflict = 409;
+constexpr int unavailable = 503;
+
+struct row {
+    std::uint64_t version = 0;
+    bool deleted = false;
+    json cells = json::object();
+};
+
+// A table with the history of its rows, from which stale reads are served.
+struct table {
+    std::uint64_t version = 0;
+    std::map<std::string, row> rows;
+};
+
+struct fault_settings {
+    bool down = false;        // every request is dropped
+    int delay_ms = 0;         // before every answer
+    int lose_answers = 0;     // writes that take effect but get no answer
+    int lose_requests = 0;    // writes that get no answer and no effect
+    int stale_reads_ms = 0;   // reads show the state of that long ago
+    int list_lag_ms = 0;      // the instance list shows that state
+};
+
+struct list_state {
+    steady::time_point since;
+    json instances;
+};
+
+struct counters {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t rows_written = 0;
+};
+
+class platform {
+public:
+    void handle(const request_ptr& request);
+
+private:
+    using tables = std::map<std::string, table>;
+
+    struct snapshot {
+        steady::time_point since;
+        tables state;
+    };
+
+    void serve(const request_ptr& request);
+    void control(const request_ptr& request);
+    void transact(const request_ptr& request);
+    void read_rows(const request_ptr& request, const std::string& name);
+    void read_row(const request_ptr& request, const std::string& name);
+    void objects(const request_ptr& request, const std::string& name);
+    void instances(const request_ptr& request);
+    const tables& readable() const;
+    json conflicts_of(const json& writes) const;
+    std::uint64_t commit(const json& writes);
+    void answer(const request_ptr& request, int status, const json& body) const;
+
+    tables tables_;
+    std::deque<snapshot> history_;
+    std::map<std::string, std::string> objects_;
+    std::deque<list_state> lists_;
+    fault_settings faults_;
+    counters counts_;
+};
+
+json describe(const std::string& key, const row& value) {
+    return {{"key", key},
+            {"version", value.version},
+            {"deleted", value.deleted},
+            {"cells", value.cells}};
+}
+
+void platform::answer(const request_ptr& request, int status,
+                      const json& body) const {
+    if (faults_.delay_ms == 0) {
+        request->reply_json(status, body);
+        return;
+    }
+    standin::after(milliseconds(faults_.delay_ms), [request, status, body] {
+        request->reply_json(status, body);
+    });
+}
+
+void platform::handle(const request_ptr& request) {
+    if (request->path() == "/control") {
+        control(request);
+        return;
+    }
+    if (faults_.down) {
+        request->drop();
+        return;
+    }
+    try {
+        serve(request);
+    } catch (const json::exception& problem) {
+        request->reply_json(bad_request, {{"title", problem.what()}});
+    }
+}
+
+void platform::serve(const request_ptr& request) {
+    const auto path = request->path();
+    const std::string table_prefix = "/v1/tables/";
+    const std::string object_prefix = "/v1/objects/";
+    if (path == "/v1/transactions" && request->method() == "POST") {
+        transact(request);
+    } else if (path == "/v1/instances") {
+        instances(request);
+    } else if (path.starts_with(object_prefix)) {
+        objects(request, path.substr(object_prefix.size()));
+    } else if (path.starts_with(table_prefix)) {
+        const auto rest = path.substr(table_prefix.size());
+        const auto slash = rest.find('/');
+        const auto name = rest.substr(0, slash);
+        if (rest.substr(std::min(slash, rest.size())) == "/rows") {
+            read_rows(request, name);
+        } else {
+            read_row(request, name);
+        }
+    } else {
+        request->reply_json(not_found, {{"title", "no such page"}});
+    }
+}
+
+// Sets faults and the instance list; answers with the counters.
+void platform::control(const request_ptr& request) {
+    if (request->method() == "POST") {
+        const auto body = request->body_json();
+        if (!body.is_object()) {
+            request->reply_json(bad_request, {{"title", "not JSON"}});
+            return;
+        }
+        faults_.down = body.value("down", faults_.down);
+        faults_.delay_ms = body.value("delay_ms", faults_.delay_ms);
+        faults_.lose_answers = body.value("lose_answers", faults_.lose_answers);
+        faults_.lose_requests =
+            body.value("lose_requests", faults_.lose_requests);
+        faults_.stale_reads_ms =
+            body.value("stale_reads_ms", faults_.stale_reads_ms);
+        faults_.list_lag_ms = body.value("list_lag_ms", faults_.list_lag_ms);
+        if (body.contains("instances")) {
+            lists_.push_back({steady::now(), body["instances"]});
+        }
+    }
+    request->reply_json(ok, {{"reads", counts_.reads},
+                             {"writes", counts_.writes},
+                             {"rows_written", counts_.rows_written}});
+}
+
+const platform::tables& platform::readable() const {
+    const auto wanted =
+        steady::now() - milliseconds(faults_.stale_reads_ms);
+    if (faults_.stale_reads_ms == 0 || history_.empty()) {
+        return tables_;
+    }
+    const snapshot* chosen = &history_.front();
+    for (const auto& item : history_) {
+        if (item.since <= wanted) {
+            chosen = &item;
+        }
+    }
+    return chosen->state;
+}
+
+void platform::read_rows(const request_ptr& request, const std::string& name) {
+    ++counts_.reads;
+    const auto after_text = request->query("after");
+    const auto after = after_text.empty() ? 0 : std::stoull(after_text);
+    json rows = json::array();
+    std::uint64_t version = 0;
+    const auto found = readable().find(name);
+    if (found != readable().end()) {
+        version = found->second.version;
+        for (const auto& [key, value] : found->second.rows) {
+            if (value.version > after) {
+                rows.push_back(describe(key, value));
+            }
+        }
+    }
+    answer(request, ok, {{"version", version}, {"rows", std::move(rows)}});
+}
+
+void platform::read_row(const request_ptr& request, const std::string& name) {
+    ++counts_.reads;
+    const auto key = request->query("key");
+    const auto& state = readable();
+    const auto found = state.find(name);
+    if (found == state.end() || !found->second.rows.contains(key)) {
+        answer(request, not_found, {{"title", "no such row"}});
+        return;
+    }
+    answer(request, ok, describe(key, found->second.rows.at(key)));
+}
+
+// A write without an expected version is done whatever is there.
+json platform::conflicts_of(const json& writes) const {
+    json conflicts = json::array();
+    for (const auto& item : writes) {
+        if (!item.contains("expected_version")) {
+            continue;
+        }
+        const std::string name = item.at("table");
+        const std::string key = item.at("key");
+        const auto found = tables_.find(name);
+        row present;
+        if (found != tables_.end() && found->second.rows.contains(key)) {
+            present = found->second.rows.at(key);
+        }
+        const std::uint64_t expected = item.at("expected_version");
+        const auto seen = expected == 0 && present.deleted ? 0
+                                                           : present.version;
+        if (seen != expected) {
+            conflicts.push_back(
+                {{"table", name}, {"row", describe(key, present)}});
+        }
+    }
+    return conflicts;
+}
+
+std::uint64_t platform::commit(const json& writes) {
+    std::uint64_t last = 0;
+    for (const auto& item : writes) {
+        auto& target = tables_[item.at("table").get<std::string>()];
+        auto& changed = target.rows[item.at("key").get<std::string>()];
+        changed.version = ++target.version;
+        changed.deleted = item.value("deleted", false);
+        changed.cells = item.value("cells", json::object());
+        last = target.version;
+        ++counts_.rows_written;
+    }
+    constexpr std::size_t kept = 50;
+    if (faults_.stale_reads_ms > 0) {
+        history_.push_back({steady::now(), tables_});
+        if (history_.size() > kept) {
+            history_.pop_front();
+        }
+    } else {
+        history_.assign(1, {steady::now(), tables_});
+    }
+    return last;
+}
+
+void platform::transact(const request_ptr& request) {
+    ++counts_.writes;
+    const auto body = request->body_json();
+    const auto& writes = body.at("writes");
+    if (faults_.lose_requests > 0) {
+        --faults_.lose_requests;
+        return; // the request object goes and closes the connection
+    }
+    auto conflicts = conflicts_of(writes);
+    if (!conflicts.empty()) {
+        answer(request, conflict, {{"conflicts", std::move(conflicts)}});
+        return;
+    }
+    const auto version = commit(writes);
+    if (faults_.lose_answers > 0) {
+        --faults_.lose_answers;
+        request->drop();
+        return;
+    }
+    answer(request, ok, {{"version", version}});
+}
+
+void platform::objects(const request_ptr& request, const std::string& name) {
+    if (request->method() == "PUT") {
+        ++counts_.writes;
+        objects_[name] = request->body();
+        answer(request, ok, {{"name", name}});
+        return;
+    }
+    ++counts_.reads;
+    const auto found = objects_.find(name);
+    if (found == objects_.end()) {
+        answer(request, not_found, {{"title", "no such object"}});
+        return;
+    }
+    request->reply(ok, found->second);
+}
+
+void platform::instances(const request_ptr& request) {
+    ++counts_.reads;
+    const auto wanted = steady::now() - milliseconds(faults_.list_lag_ms);
+    json shown = json::array();
+    for (const auto& item : lists_) {
+        if (item.since <= wanted) {
+            shown = item.instances;
+        }
+    }
+    answer(request, ok, {{"instances", std::move(shown)}});
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine command("Stand-in for the platform", ' ', "1");
+        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any",
+                                            false, 0, "PORT", command);
+        command.parse(argc, argv);
+        platform state;
+        const auto bound = standin::serve(
+            port.getValue(),
+            [&](const request_ptr& request) { state.handle(request); });
+        standin::run(bound);
+    } catch (const std::exception& problem) {
+        std::cerr << problem.what() << std::endl;
+        return 1;
+    }
+}
