--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -257,9 +257,15 @@
                       time_point now, actions& out);
     void note_peer_loads(const heartbeat& beat, time_point now);
     void forget_peer_loads(const incarnation& peer);
+    verdict early_refusal(const arriving_call& arriving,
+                          not_run_reason reason, time_point now) const;
     std::optional<call> classify(const arriving_call& arriving,
                                  time_point now, actions& out);
     void after_table_change(time_point now);
+    void ask_for_table(const std::string& peer_address, time_point now,
+                       actions& out);
+    void on_table_rows(const table_rows& rows, time_point now);
+    void confirm_after_pause(time_point now, actions& out);
     duration table_age(time_point now) const;
 
     coordinator_options options_;
@@ -290,6 +296,10 @@
     time_point last_seen_;
     std::optional<time_point> confirmed_at_;
     std::optional<time_point> stopping_since_;
+    // Table requests under way: number and time of sending.
+    std::deque<std::pair<std::uint64_t, time_point>> requests_;
+    std::uint64_t next_request_ = 1;
+    time_point next_confirmation_;
     bool woke_up_ = false; // after a pause, nothing was confirmed yet
 };
 
--- a/include/lacewingbeam/operation_ledger.hpp
+++ b/include/lacewingbeam/operation_ledger.hpp
@@ -93,6 +93,11 @@
     // The answer of an operation that ran and is still kept.
     const recorded_answer* find_answer(const operation_id& operation) const;
 
+    // True if the operation was begun and is not forgotten.
+    bool knows(const operation_id& operation) const {
+        return entries_.contains(operation.text);
+    }
+
     std::size_t size() const { return entries_.size(); }
     std::size_t answer_bytes() const { return answer_bytes_; }
 
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -37,13 +37,16 @@
     std::vector<member> members;
 };
 
-// Asks a peer for table rows newer than the version held.
+// Asks a peer for table rows newer than the version held. It is always
+// answered, so that the answer confirms what is held, too.
 struct table_request {
     std::uint64_t have_version = 0;
+    std::uint64_t number = 0; // the sender's own
 };
 
 // Answers table_request.
 struct table_rows {
+    std::uint64_t request_number = 0;
     std::uint64_t table_version = 0;
     duration age{};
     std::vector<raw_row> rows;
--- a/include/lacewingbeam/verdict.hpp
+++ b/include/lacewingbeam/verdict.hpp
@@ -26,7 +26,6 @@
     ticket_expired,
     ticket_content_differs,
     operations_full,
-    store_unavailable,
 };
 
 // Why a request may have run although its answer is not known.
@@ -40,6 +39,8 @@
     claimed_elsewhere,
     answer_not_kept,
     still_running,
+    store_unavailable,
+    owner_not_consulted,
 };
 
 // The whole answer of a backend server was received.
@@ -48,7 +49,8 @@
 };
 
 // No byte of the request can have reached a backend server, or the backend
-// server itself refused it before it started.
+// server itself refused it before it started. For a call with a ticket or
+// key this also covers every earlier send of the same operation.
 struct not_run {
     not_run_reason reason;
     bool operator==(const not_run&) const = default;
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -38,6 +38,7 @@
 
 struct table_request {
   1: i64 have_version,
+  2: i64 number,
 }
 
 struct cell {
@@ -56,6 +57,7 @@
   1: i64 table_version,
   2: i32 age_ms,
   3: list<row> rows,
+  4: i64 request_number,
 }
 
 struct peer_message {
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -132,6 +132,7 @@
     void operator()(const table_request& value) const {
         wire::table_request request;
         request.have_version = static_cast<std::int64_t>(value.have_version);
+        request.number = static_cast<std::int64_t>(value.number);
         out.__set_request(request);
     }
 
@@ -139,6 +140,7 @@
         wire::table_rows rows;
         rows.table_version = static_cast<std::int64_t>(value.table_version);
         rows.age_ms = clamp_ms(value.age);
+        rows.request_number = static_cast<std::int64_t>(value.request_number);
         for (const auto& item : value.rows) {
             rows.rows.push_back(to_wire(item));
         }
@@ -171,6 +173,7 @@
     table_rows rows;
     rows.table_version = static_cast<std::uint64_t>(value.table_version);
     rows.age = from_ms(value.age_ms);
+    rows.request_number = static_cast<std::uint64_t>(value.request_number);
     for (const auto& item : value.rows) {
         rows.rows.push_back(from_wire(item));
     }
@@ -230,7 +233,8 @@
     }
     if (message.__isset.request) {
         return table_request{
-            static_cast<std::uint64_t>(message.request.have_version)};
+            static_cast<std::uint64_t>(message.request.have_version),
+            static_cast<std::uint64_t>(message.request.number)};
     }
     if (message.__isset.rows) {
         return read_rows(message.rows);
--- a/src/decisions/budget.cpp
+++ b/src/decisions/budget.cpp
@@ -39,7 +39,10 @@
         return 0;
     }
     const std::chrono::duration<double> cost = probe_cost;
-    return share / cost.count() / max_instances;
+    const std::chrono::duration<double> window = probe_window;
+    // A bucket lets one probe more than rate times window through.
+    const double burst = 1 / window.count();
+    return std::max(0.0, share / cost.count() / max_instances - burst);
 }
 
 attempt_budget::attempt_budget(double percent, double reserve)
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -59,21 +59,40 @@
       next_heartbeat_(now), next_housekeeping_(now),
       last_seen_(now) {}
 
+// A call that is refused before the owner of its operation was asked may be
+// a resend of one that ran.
+verdict coordinator::early_refusal(const arriving_call& arriving,
+                                   not_run_reason reason,
+                                   time_point now) const {
+    if (arriving.ticket.empty() && arriving.idempotency_key.empty()) {
+        return not_run{reason};
+    }
+    const auto value = decode(arriving.ticket, options_.key);
+    const bool unused = value && value->minter == own().id &&
+                        now < value->expires + options_.retention &&
+                        !ledger_.knows(ticket_operation(*value));
+    if (unused) {
+        return not_run{reason};
+    }
+    return may_have_run{may_have_run_reason::owner_not_consulted};
+}
+
 std::optional<call> coordinator::classify(const arriving_call& arriving,
                                           time_point now, actions& out) {
     const auto* service = table_.find_service(arriving.service);
+    const auto refuse_early = [&](not_run_reason reason, duration wait) {
+        finish(arriving.id, early_refusal(arriving, reason, now), wait, out);
+    };
     if (is_unconfirmed(now)) {
-        refuse(arriving.id, not_run_reason::table_unconfirmed,
-               doubt_retry_after, out);
+        refuse_early(not_run_reason::table_unconfirmed, doubt_retry_after);
         return std::nullopt;
     }
     if (service == nullptr) {
-        refuse(arriving.id, not_run_reason::unknown_service, {}, out);
+        refuse_early(not_run_reason::unknown_service, {});
         return std::nullopt;
     }
     if (dispatcher_.calls() + forwarded_.size() >= options_.max_calls) {
-        refuse(arriving.id, not_run_reason::queue_full, default_retry_after,
-               out);
+        refuse_early(not_run_reason::queue_full, default_retry_after);
         return std::nullopt;
     }
     const auto time_left =
@@ -428,16 +447,21 @@
         return;
     }
     operations_.erase(id);
+    // Nothing was started here, so the ledger forgets the operation; an
+    // earlier send may have run elsewhere all the same.
+    const auto followers = ledger_.finish(
+        waiting.operation, not_run{not_run_reason::cancelled_before_start},
+        {});
     if (std::holds_alternative<claim_abandoned>(event)) {
-        const not_run outcome{not_run_reason::store_unavailable};
+        const may_have_run outcome{may_have_run_reason::store_unavailable};
         finish(id, outcome, doubt_retry_after, out);
-        finish_operation(waiting.operation, outcome, std::nullopt,
-                         doubt_retry_after, out);
+        for (const auto follower : followers) {
+            operations_.erase(follower);
+            finish(follower, outcome, doubt_retry_after, out);
+        }
         return;
     }
     const auto& owner = std::get<claim_taken>(event).claimant;
-    const auto followers = ledger_.finish(
-        waiting.operation, not_run{not_run_reason::store_unavailable}, {});
     forward_or_look_up(waiting, owner, now, out);
     for (const auto follower : followers) {
         const auto entry = operations_.at(follower);
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -36,6 +36,10 @@
 // The journal's last entries are given up after this long.
 constexpr duration max_journal_wait = seconds(10);
 
+// How often peers are asked for the table after a pause.
+constexpr duration confirmation_interval = milliseconds(200);
+constexpr std::size_t max_table_requests = 64;
+
 constexpr duration overdue_wait = milliseconds(100);
 constexpr duration still_running_retry_after = milliseconds(500);
 
@@ -163,18 +167,50 @@
     if (const auto* beat = std::get_if<heartbeat>(&message)) {
         on_heartbeat(from, *beat, now, out);
     } else if (const auto* request = std::get_if<table_request>(&message)) {
-        if (table_.version() > request->have_version) {
-            out.emplace_back(send_message{
-                from, table_rows{table_.version(), table_age(now),
-                                 table_.rows_after(request->have_version)}});
-        }
+        out.emplace_back(send_message{
+            from, table_rows{request->number, table_.version(),
+                             table_age(now),
+                             table_.rows_after(request->have_version)}});
     } else {
-        const auto& rows = std::get<table_rows>(message);
-        on_table(rows.rows, rows.table_version, now - rows.age, now);
+        on_table_rows(std::get<table_rows>(message), now);
     }
     return out;
 }
 
+void coordinator::ask_for_table(const std::string& peer_address,
+                                time_point now, actions& out) {
+    if (requests_.size() >= max_table_requests) {
+        requests_.pop_front();
+    }
+    requests_.emplace_back(next_request_, now);
+    out.emplace_back(send_message{
+        peer_address, table_request{table_.version(), next_request_++}});
+}
+
+// The answer counts as of the moment of the request: it may have waited in a
+// buffer while this process was paused.
+void coordinator::on_table_rows(const table_rows& rows, time_point now) {
+    const auto request = std::find_if(
+        requests_.begin(), requests_.end(),
+        [&](const auto& item) { return item.first == rows.request_number; });
+    if (request == requests_.end()) {
+        return;
+    }
+    const auto asked_at = request->second;
+    requests_.erase(request);
+    on_table(rows.rows, rows.table_version, asked_at - rows.age, now);
+}
+
+void coordinator::confirm_after_pause(time_point now, actions& out) {
+    if (now < next_confirmation_) {
+        return;
+    }
+    next_confirmation_ = now + confirmation_interval;
+    for (const auto& address : membership_.heartbeat_targets(engine_, now)) {
+        ask_for_table(address, now, out);
+    }
+}
+
 void coordinator::on_heartbeat(const std::string& from, const heartbeat& beat,
                                time_point now, actions& out) {
     if (!membership_.on_heartbeat(beat.sender, beat.sequence, now)) {
@@ -188,8 +224,9 @@
         }
     }
     if (beat.table_version > table_.version()) {
-        out.emplace_back(send_message{from, table_request{table_.version()}});
-    } else if (beat.table_version == table_.version() && beat.table_version > 0) {
+        ask_for_table(from, now, out);
+    } else if (beat.table_version == table_.version() &&
+               beat.table_version > 0 && !woke_up_) {
         confirm_table(now - beat.table_age);
     }
 }
@@ -229,6 +266,9 @@
     actions out;
     dispatcher_.set_share(
         {membership_.active_count(now), membership_.own_rank(now)});
+    if (woke_up_) {
+        confirm_after_pause(now, out);
+    }
     if (woke_up_ && is_unconfirmed(now)) {
         take(dispatcher_.refuse_waiting(not_run_reason::table_unconfirmed),
              out);
--- a/src/decisions/verdict.cpp
+++ b/src/decisions/verdict.cpp
@@ -58,8 +58,6 @@
         return "ticket_content_differs";
     case not_run_reason::operations_full:
         return "operations_full";
-    case not_run_reason::store_unavailable:
-        return "store_unavailable";
     }
     return "unknown";
 }
@@ -84,6 +82,10 @@
         return "answer_not_kept";
     case may_have_run_reason::still_running:
         return "still_running";
+    case may_have_run_reason::store_unavailable:
+        return "store_unavailable";
+    case may_have_run_reason::owner_not_consulted:
+        return "owner_not_consulted";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/tool/csv.hpp
@@ -0,0 +1,27 @@
+#ifndef LACEWINGBEAM_TOOL_CSV_HPP
+#define LACEWINGBEAM_TOOL_CSV_HPP
+
+#include "lacewingbeam/table.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// The operators' table as comma-separated values, a line for each row.
+namespace lacewingbeam {
+
+// Thrown for a file that is no table; names the line.
+class csv_error : public error {
+public:
+    using error::error;
+};
+
+std::string write_csv(std::span<const raw_row> rows);
+
+// Throws csv_error.
+std::vector<raw_row> read_csv(std::string_view text);
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/tool/instance_commands.cpp
@@ -0,0 +1,234 @@
+#include "command_line.hpp"
+#include "commands.hpp"
+
+#include "table_edit.hpp"
+
+#include <cstdlib>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace lacewingbeam {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr duration drain_poll = std::chrono::milliseconds(200);
+
+json get_json(tool_session& session, const std::string& address,
+              const std::string& target) {
+    const auto result = session.get(address, target);
+    if (result.status == 0) {
+        throw unreachable_error("instance " + address + " did not answer");
+    }
+    const auto body = json::parse(result.body, nullptr, false);
+    if (result.status != status_ok) {
+        throw error(body.is_object() ? body.value("title", "request refused")
+                                     : "request refused");
+    }
+    return body;
+}
+
+// The admin addresses of an instance and of all its peers.
+std::set<std::string> find_instances(tool_session& session,
+                                     const std::string& admin) {
+    std::set<std::string> all{admin};
+    const auto body = get_json(session, admin, "/admin/peers");
+    for (const auto& peer : body.at("peers")) {
+        all.insert(peer.at("admin_address").get<std::string>());
+    }
+    return all;
+}
+
+struct drain_state {
+    std::size_t unaware = 0;  // instances that may still send new work
+    unsigned in_flight = 0;
+    std::size_t silent = 0;   // instances that did not answer
+};
+
+void add_instance(const json& status, const json& servers,
+                  const server_key& key, std::uint64_t version,
+                  drain_state& sum) {
+    if (status.at("table_version").get<std::uint64_t>() < version) {
+        ++sum.unaware;
+    }
+    for (const auto& item : servers.at("servers")) {
+        if (item.at("service") == key.service &&
+            item.at("backend_server") == key.backend_server) {
+            sum.in_flight += item.at("in_flight").get<unsigned>();
+        }
+    }
+}
+
+drain_state look_at_drain(tool_session& session,
+                          const std::set<std::string>& instances,
+                          const server_key& key, std::uint64_t version) {
+    drain_state sum;
+    for (const auto& address : instances) {
+        try {
+            const auto status = get_json(session, address, "/admin/status");
+            const auto servers = get_json(session, address, "/admin/servers");
+            add_instance(status, servers, key, version, sum);
+        } catch (const unreachable_error&) {
+            ++sum.silent;
+        }
+    }
+    return sum;
+}
+
+// Waits until every instance knows of the drain and has nothing in flight.
+int wait_for_drain(tool_session& session, const std::string& admin,
+                   const server_key& key, std::uint64_t version,
+                   duration limit) {
+    duration waited{};
+    std::set<std::string> instances;
+    drain_state state;
+    while (waited < limit) {
+        instances.merge(find_instances(session, admin));
+        state = look_at_drain(session, instances, key, version);
+        if (state.unaware == 0 && state.in_flight == 0 && state.silent == 0) {
+            std::cout << "drained: " << instances.size()
+                      << " instances have nothing in flight to "
+                      << to_string(key) << "\n";
+            return exit_good;
+        }
+        session.sleep(drain_poll);
+        waited += drain_poll;
+    }
+    std::cerr << "not drained: " << state.in_flight << " in flight, "
+              << state.unaware << " instances without the edit, "
+              << state.silent << " instances without answer\n";
+    return exit_timeout;
+}
+
+std::uint64_t set_leaving(tool_session& session, const std::string& key,
+                          const std::string& by) {
+    const auto found = session.read_row(services_table, key);
+    if (!found || found->deleted) {
+        throw table_error("there is no row " + key);
+    }
+    if (found->value_of("state") == "leaving") {
+        return found->version;
+    }
+    row_change change{*found, *found};
+    set_cell(change.wanted, "state", "leaving");
+    const auto result =
+        apply_changes(session, {&change, 1}, {by, current_time()});
+    if (const auto* good = std::get_if<edit_accepted>(&result)) {
+        return good->version;
+    }
+    if (const auto* conflict = std::get_if<edit_conflict>(&result)) {
+        std::string text = "somebody else edited the row; try again";
+        for (const auto& line : conflict->lines) {
+            text += "\n  " + line;
+        }
+        throw error(text);
+    }
+    throw unreachable_error("the platform does not answer: the edit may or "
+                            "may not have been accepted; run drain again");
+}
+
+void print_instance(const json& status) {
+    std::cout << status.at("admin_address").get<std::string>() << "  "
+              << (status.at("ready").get<bool>() ? "ready" : "not-ready")
+              << "  domain=" << status.at("failure_domain").get<std::string>()
+              << "  table=" << status.at("table_version")
+              << "  table_age_ms=" << status.at("table_age_ms")
+              << "  calls=" << status.at("calls")
+              << "  waiting=" << status.at("waiting_calls")
+              << "  instances=" << status.at("active_instances") << "\n";
+}
+
+} // namespace
+
+int run_drain(const std::vector<std::string>& arguments) {
+    command_line line("Takes a backend server out of service: sets its "
+                        "state to leaving.");
+    TCLAP::ValueArg<std::string> platform("p", "platform",
+                                          "the platform's address", true, "",
+                                          "IP:port", line);
+    TCLAP::ValueArg<std::string> admin(
+        "a", "admin", "admin address of any instance; needed with --wait",
+        false, "", "IP:port", line);
+    TCLAP::SwitchArg wait("w", "wait",
+                          "end once no instance has work in flight there",
+                          line);
+    TCLAP::ValueArg<unsigned> limit("t", "timeout", "longest wait", false,
+                                    3600, "SECONDS", line);
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false, "operator",
+                                    "NAME", line);
+    TCLAP::UnlabeledValueArg<std::string> key(
+        "key", "the backend server", true, "", "SERVICE/BACKEND_SERVER", line);
+    line.read(arguments);
+    const auto slash = key.getValue().find('/');
+    if (slash == std::string::npos) {
+        throw table_error("\"" + key.getValue() +
+                          "\" is not of the form service/backend_server");
+    }
+    if (wait.getValue() && admin.getValue().empty()) {
+        throw table_error("--wait needs --admin");
+    }
+    tool_session session(platform.getValue());
+    const auto version = set_leaving(session, key.getValue(), by.getValue());
+    std::cout << to_string(server_key{key.getValue().substr(0, slash),
+                                      key.getValue().substr(slash + 1)})
+              << " is leaving as of version " << version << std::endl;
+    if (!wait.getValue()) {
+        return exit_good;
+    }
+    return wait_for_drain(session, admin.getValue(),
+                          {key.getValue().substr(0, slash),
+                           key.getValue().substr(slash + 1)},
+                          version, std::chrono::seconds(limit.getValue()));
+}
+
+int run_status(const std::vector<std::string>& arguments) {
+    command_line line("Shows an instance and all its peers.");
+    TCLAP::ValueArg<std::string> admin("a", "admin",
+                                       "admin address of any instance", true,
+                                       "", "IP:port", line);
+    line.read(arguments);
+    tool_session session("");
+    int code = exit_good;
+    for (const auto& address : find_instances(session, admin.getValue())) {
+        try {
+            print_instance(get_json(session, address, "/admin/status"));
+        } catch (const unreachable_error&) {
+            std::cout << address << "  no answer\n";
+            code = exit_unreachable;
+        }
+    }
+    return code;
+}
+
+int run_explain(const std::vector<std::string>& arguments) {
+    command_line line("Shows an instance's latest choices for a service "
+                        "and what they were made from.");
+    TCLAP::ValueArg<std::string> admin("a", "admin", "admin address", true,
+                                       "", "IP:port", line);
+    TCLAP::UnlabeledValueArg<std::string> service("service", "the service",
+                                                  true, "", "SERVICE", line);
+    line.read(arguments);
+    tool_session session("");
+    const auto body = get_json(session, admin.getValue(),
+                               "/admin/explain/" + service.getValue());
+    for (const auto& choice : body.at("choices")) {
+        std::cout << choice.at("age_ms") << " ms ago: "
+                  << choice.at("chosen").get<std::string>() << "\n";
+        for (const auto& item : choice.at("candidates")) {
+            std::cout << "    " << item.at("backend_server").get<std::string>()
+                      << "  cost=" << item.at("expected_cost")
+                      << "  load=" << item.at("estimated_load") << "/"
+                      << item.at("slots")
+                      << "  own=" << item.at("own_in_flight")
+                      << "  latency_ms=" << item.at("latency_ms")
+                      << "  penalty=" << item.at("penalty")
+                      << "  weight=" << item.at("weight") << "\n";
+        }
+    }
+    return exit_good;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/tool/table_commands.cpp
@@ -0,0 +1,224 @@
+#include "command_line.hpp"
+#include "commands.hpp"
+
+#include "csv.hpp"
+#include "table_edit.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace lacewingbeam {
+
+namespace {
+
+// Arguments that every table command takes.
+class table_arguments : public command_line {
+public:
+    explicit table_arguments(const std::string& help)
+        : command_line(help), platform_("p", "platform",
+                                        "the platform's address", true, "",
+                                        "IP:port", *this) {}
+
+    const std::string& platform() { return platform_.getValue(); }
+
+private:
+    TCLAP::ValueArg<std::string> platform_;
+};
+
+std::string user_name() {
+    const char* name = std::getenv("USER");
+    return name == nullptr ? "operator" : name;
+}
+
+struct result_printer {
+    int operator()(const edit_accepted& value) const {
+        std::cout << "accepted as version " << value.version << "\n";
+        return exit_good;
+    }
+
+    int operator()(const edit_conflict& value) const {
+        std::cerr << "conflict: nothing was changed\n";
+        for (const auto& line : value.lines) {
+            std::cerr << "  " << line << "\n";
+        }
+        return exit_conflict;
+    }
+
+    int operator()(const edit_unknown& value) const {
+        std::cerr << "the platform does not answer: the edit may or may not "
+                     "have been accepted; its id is "
+                  << value.edit_id << "\n";
+        return exit_unknown;
+    }
+};
+
+raw_row read_base(tool_session& session, const std::string& key) {
+    raw_row base;
+    base.key = key;
+    const auto found = session.read_row(services_table, key);
+    if (found && !found->deleted) {
+        base = *found;
+    }
+    return base;
+}
+
+void assign_cells(raw_row& row, const std::vector<std::string>& assignments) {
+    for (const auto& text : assignments) {
+        const auto equals = text.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            throw table_error("\"" + text + "\" is not of the form cell=value");
+        }
+        set_cell(row, text.substr(0, equals), text.substr(equals + 1));
+    }
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) {
+        throw csv_error(path + ": cannot be read");
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+bool same_cells(const raw_row& a, const raw_row& b) {
+    for (const auto name : cell_names(is_server_key(a.key))) {
+        if (a.value_of(name) != b.value_of(name)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// The rows of a file that differ from the table. Each expects the version
+// that the file names, so that edits made since the export are not undone.
+std::vector<row_change> find_changes(std::span<const raw_row> present,
+                                     std::span<const raw_row> wanted) {
+    std::vector<row_change> changes;
+    for (const auto& row : wanted) {
+        raw_row base;
+        base.key = row.key;
+        for (const auto& known : present) {
+            if (known.key == row.key) {
+                base = known;
+            }
+        }
+        if (base.version != 0 && same_cells(base, row)) {
+            continue;
+        }
+        base.version = row.version;
+        changes.push_back({base, row});
+    }
+    return changes;
+}
+
+} // namespace
+
+int run_table_show(const std::vector<std::string>& arguments) {
+    table_arguments given("Shows the table, or the rows of one service.");
+    TCLAP::UnlabeledValueArg<std::string> service(
+        "service", "only this service", false, "", "SERVICE", given);
+    given.read(arguments);
+    tool_session session(given.platform());
+    for (const auto& row : session.read_table()) {
+        const auto owner = row.key.substr(0, row.key.find('/'));
+        if (!service.getValue().empty() && owner != service.getValue()) {
+            continue;
+        }
+        std::cout << row.key << "  version=" << row.version;
+        for (const auto& item : row.cells) {
+            if (item.name != "edit_id") {
+                std::cout << "  " << item.name << "=" << item.value;
+            }
+        }
+        std::cout << "\n";
+    }
+    return exit_good;
+}
+
+int run_table_set(const std::vector<std::string>& arguments) {
+    table_arguments given("Sets cells of one row; a new key makes a new row.");
+    TCLAP::ValueArg<std::uint64_t> expected(
+        "e", "expect", "version that the row must have; 0: must be new",
+        false, 0, "VERSION", given);
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
+                                    user_name(), "NAME", given);
+    TCLAP::UnlabeledValueArg<std::string> key(
+        "key", "service or service/backend_server", true, "", "KEY",
+        given);
+    TCLAP::UnlabeledMultiArg<std::string> cells(
+        "cells", "cells to set; an empty value clears one", true,
+        "CELL=VALUE", given);
+    given.read(arguments);
+    tool_session session(given.platform());
+    row_change change;
+    change.base = read_base(session, key.getValue());
+    if (expected.isSet()) {
+        change.base.version = expected.getValue();
+    }
+    change.wanted = change.base;
+    assign_cells(change.wanted, cells.getValue());
+    const editor who{by.getValue(), current_time()};
+    return std::visit(result_printer{},
+                      apply_changes(session, {&change, 1}, who));
+}
+
+int run_table_remove(const std::vector<std::string>& arguments) {
+    table_arguments given("Removes one row.");
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
+                                    user_name(), "NAME", given);
+    TCLAP::UnlabeledValueArg<std::string> key(
+        "key", "service or service/backend_server", true, "", "KEY",
+        given);
+    given.read(arguments);
+    tool_session session(given.platform());
+    row_change change;
+    change.base = read_base(session, key.getValue());
+    if (change.base.version == 0) {
+        throw table_error("there is no row " + key.getValue());
+    }
+    change.wanted.key = key.getValue();
+    change.wanted.deleted = true;
+    const editor who{by.getValue(), current_time()};
+    return std::visit(result_printer{},
+                      apply_changes(session, {&change, 1}, who));
+}
+
+int run_table_export(const std::vector<std::string>& arguments) {
+    table_arguments given("Writes the table as CSV to standard output.");
+    given.read(arguments);
+    tool_session session(given.platform());
+    std::cout << write_csv(session.read_table());
+    return exit_good;
+}
+
+int run_table_import(const std::vector<std::string>& arguments) {
+    table_arguments given(
+        "Takes over the rows of a CSV file that differ from the table, all "
+        "or none. Rows that are not in the file stay.");
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
+                                    user_name(), "NAME", given);
+    TCLAP::SwitchArg dry_run("n", "dry-run", "only show what would change",
+                             given);
+    TCLAP::UnlabeledValueArg<std::string> path("file", "CSV file", true, "",
+                                               "FILE", given);
+    given.read(arguments);
+    const auto wanted = read_csv(read_file(path.getValue()));
+    tool_session session(given.platform());
+    const auto present = session.read_table();
+    const auto changes = find_changes(present, wanted);
+    for (const auto& change : changes) {
+        std::cout << (change.base.version == 0 ? "new " : "change ")
+                  << change.wanted.key << "\n";
+    }
+    if (changes.empty() || dry_run.getValue()) {
+        return exit_good;
+    }
+    const editor who{by.getValue(), current_time()};
+    return std::visit(result_printer{}, apply_changes(session, changes, who));
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/tool/table_edit.cpp
@@ -0,0 +1,165 @@
+#include "table_edit.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <random>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr int max_tries = 5;
+constexpr duration pause_between_tries = std::chrono::milliseconds(200);
+
+std::string draw_edit_id() {
+    std::random_device device;
+    random_engine engine((std::uint64_t{device()} << 32U) | device());
+    return to_string(draw_incarnation(engine));
+}
+
+std::vector<row_write> make_writes(std::span<const row_change> changes,
+                                   const editor& by,
+                                   const std::string& edit_id) {
+    std::vector<row_write> writes;
+    std::string keys;
+    for (const auto& change : changes) {
+        auto row = change.wanted;
+        row.version = change.base.version;
+        set_cell(row, "edit_id", edit_id);
+        set_cell(row, "edited_by", by.name);
+        set_cell(row, "edited_at", by.time);
+        keys += (keys.empty() ? "" : " ") + row.key;
+        writes.push_back({services_table, std::move(row)});
+    }
+    raw_row mark;
+    mark.key = edit_id;
+    mark.cells = {{"rows", keys}, {"by", by.name}, {"at", by.time}};
+    writes.push_back({edits_table, std::move(mark)});
+    return writes;
+}
+
+std::string shown(std::string_view value) {
+    return value.empty() ? "(empty)" : "\"" + std::string(value) + "\"";
+}
+
+// What somebody else did to a row since it was read.
+void describe_conflict(const raw_row& base, const raw_row& present,
+                       std::vector<std::string>& lines) {
+    const auto who = " by " + shown(present.value_of("edited_by")) + " at " +
+                     shown(present.value_of("edited_at"));
+    if (present.version == 0) {
+        lines.push_back(base.key + ": no such row any more");
+        return;
+    }
+    if (present.deleted) {
+        lines.push_back(base.key + ": removed" + who);
+        return;
+    }
+    const auto before = lines.size();
+    for (const auto name : cell_names(is_server_key(base.key))) {
+        const auto was = base.value_of(name);
+        const auto now = present.value_of(name);
+        if (was != now) {
+            lines.push_back(base.key + ": " + std::string(name) +
+                            " changed from " + shown(was) + " to " +
+                            shown(now) + who);
+        }
+    }
+    if (lines.size() == before) {
+        lines.push_back(base.key + ": written again" + who);
+    }
+}
+
+edit_conflict make_conflict(std::span<const row_change> changes,
+                            const write_conflict& conflict) {
+    edit_conflict result;
+    for (const auto& present : conflict.existing) {
+        const auto change = std::find_if(
+            changes.begin(), changes.end(), [&](const row_change& item) {
+                return item.wanted.key == present.key;
+            });
+        if (change != changes.end()) {
+            describe_conflict(change->base, present, result.lines);
+        }
+    }
+    return result;
+}
+
+// True once the edit's own mark is found, false if it is certainly not
+// there yet, nothing if the platform does not answer.
+std::optional<bool> find_mark(tool_session& session,
+                              const std::string& edit_id) {
+    try {
+        return session.read_row(edits_table, edit_id).has_value();
+    } catch (const unreachable_error&) {
+        return std::nullopt;
+    }
+}
+
+std::uint64_t version_of(tool_session& session, const std::string& key) {
+    const auto row = session.read_row(services_table, key);
+    return row ? row->version : 0;
+}
+
+} // namespace
+
+edit_result apply_changes(tool_session& session,
+                          std::span<const row_change> changes,
+                          const editor& by) {
+    for (const auto& change : changes) {
+        validate(change.wanted);
+    }
+    const auto edit_id = draw_edit_id();
+    const auto writes = make_writes(changes, by, edit_id);
+    bool in_doubt = false;
+    for (int i = 0; i < max_tries; ++i) {
+        const auto result = session.write(writes);
+        if (const auto* good = std::get_if<write_committed>(&result)) {
+            return edit_accepted{changes.size() == 1
+                                     ? version_of(session,
+                                                  changes[0].wanted.key)
+                                     : good->version};
+        }
+        // A conflict after a lost answer may be with this very edit.
+        const auto mark =
+            in_doubt || std::holds_alternative<write_unknown>(result)
+                ? find_mark(session, edit_id)
+                : std::optional<bool>(false);
+        if (mark == true) {
+            return edit_accepted{version_of(session, changes[0].wanted.key)};
+        }
+        const auto* conflict = std::get_if<write_conflict>(&result);
+        if (conflict != nullptr && mark) {
+            return make_conflict(changes, *conflict);
+        }
+        in_doubt = true;
+        session.sleep(pause_between_tries);
+    }
+    return edit_unknown{edit_id};
+}
+
+void set_cell(raw_row& row, std::string_view name, std::string_view value) {
+    const auto found =
+        std::find_if(row.cells.begin(), row.cells.end(),
+                     [&](const cell& item) { return item.name == name; });
+    if (value.empty()) {
+        if (found != row.cells.end()) {
+            row.cells.erase(found);
+        }
+    } else if (found != row.cells.end()) {
+        found->value = value;
+    } else {
+        row.cells.push_back({std::string(name), std::string(value)});
+    }
+}
+
+std::string current_time() {
+    const auto now = std::time(nullptr);
+    std::tm parts{};
+    gmtime_r(&now, &parts);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/test/scenarios/scenario.cpp
@@ -0,0 +1,401 @@
+#include "scenario.hpp"
+
+#include "fake_world.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <sstream>
+
+namespace scenario {
+
+namespace {
+
+using lacewingbeam::duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A probe of 100 ms and a tenth of a slot: one probe a second in all.
+constexpr double probes_per_second = 1;
+constexpr duration leave_bound = seconds(5);
+
+struct step {
+    int line = 0;
+    duration at{};
+    std::vector<std::string> words; // verb first
+};
+
+struct script_state {
+    fake::world world{1};
+    std::map<std::string, std::string> tickets;
+    result outcome;
+    std::string file;
+};
+
+[[noreturn]] void reject(const std::string& file, int line,
+                         const std::string& problem) {
+    throw script_error(file + ":" + std::to_string(line) + ": " + problem);
+}
+
+std::vector<std::string> split(const std::string& line) {
+    std::istringstream input(line.substr(0, line.find('#')));
+    std::vector<std::string> words;
+    for (std::string word; input >> word;) {
+        words.push_back(word);
+    }
+    return words;
+}
+
+// "250ms" or "3s"; nothing if the text is neither.
+std::optional<duration> parse_time(const std::string& text) {
+    long value = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    const std::string unit(parsed.ptr, end);
+    if (parsed.ec != std::errc{} || value < 0) {
+        return std::nullopt;
+    }
+    if (unit == "ms") {
+        return milliseconds(value);
+    }
+    if (unit == "s") {
+        return seconds(value);
+    }
+    return std::nullopt;
+}
+
+std::vector<step> parse(std::string_view text, const std::string& file) {
+    std::istringstream input{std::string(text)};
+    std::vector<step> steps;
+    int number = 0;
+    for (std::string line; std::getline(input, line);) {
+        ++number;
+        auto words = split(line);
+        if (words.empty()) {
+            continue;
+        }
+        const auto time = parse_time(words[0]);
+        if (!time || words.size() < 2) {
+            reject(file, number, "a step is TIME VERB ...: \"" + line + "\"");
+        }
+        if (!steps.empty() && *time < steps.back().at) {
+            reject(file, number, "steps must be in order of time");
+        }
+        words.erase(words.begin());
+        steps.push_back({number, *time, std::move(words)});
+    }
+    return steps;
+}
+
+// Reads a step's arguments in order.
+class arguments {
+public:
+    arguments(const step& from, const std::string& file)
+        : from_(from), file_(file) {}
+
+    std::string next() {
+        if (position_ >= from_.words.size()) {
+            reject(file_, from_.line, "an argument is missing");
+        }
+        return from_.words[position_++];
+    }
+
+    bool more() const { return position_ < from_.words.size(); }
+
+    unsigned next_number() {
+        const auto text = next();
+        unsigned value = 0;
+        const char* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, value);
+        if (parsed.ec != std::errc{} || parsed.ptr != end) {
+            reject(file_, from_.line, "\"" + text + "\" is no number");
+        }
+        return value;
+    }
+
+    duration next_time() {
+        const auto text = next();
+        const auto time = parse_time(text);
+        if (!time) {
+            reject(file_, from_.line, "\"" + text + "\" is no time");
+        }
+        return *time;
+    }
+
+    std::vector<lacewingbeam::cell> rest_as_cells() {
+        std::vector<lacewingbeam::cell> cells;
+        while (more()) {
+            const auto word = next();
+            const auto equals = word.find('=');
+            if (equals == std::string::npos) {
+                reject(file_, from_.line, "\"" + word + "\" is no cell=value");
+            }
+            cells.push_back({word.substr(0, equals), word.substr(equals + 1)});
+        }
+        return cells;
+    }
+
+    std::string rest() {
+        std::string text;
+        while (more()) {
+            text += (text.empty() ? "" : " ") + next();
+        }
+        return text;
+    }
+
+    [[noreturn]] void fail(const std::string& problem) const {
+        reject(file_, from_.line, problem);
+    }
+
+private:
+    const step& from_;
+    const std::string& file_;
+    std::size_t position_ = 1;
+};
+
+using verb = std::function<void(script_state&, arguments&, int line)>;
+
+void expect(script_state& state, int line, bool good,
+            const std::string& problem) {
+    ++state.outcome.expectations;
+    if (!good) {
+        state.outcome.failures.push_back(
+            state.file + ":" + std::to_string(line) + ": " + problem);
+    }
+}
+
+void run_send(script_state& state, arguments& words, int) {
+    fake::send_options what;
+    what.operation = words.next();
+    if (words.next() != "to") {
+        words.fail("send is: send OPERATION to INSTANCE [NAME VALUE]...");
+    }
+    const auto target = words.next();
+    while (words.more()) {
+        const auto name = words.next();
+        if (name == "ticket") {
+            what.ticket = state.tickets[words.next()];
+        } else if (name == "key") {
+            what.key = words.next();
+        } else if (name == "method") {
+            what.method = words.next();
+        } else if (name == "within") {
+            what.time_left = words.next_time();
+        } else {
+            words.fail("unknown option " + name);
+        }
+    }
+    state.world.send(target, what);
+}
+
+void run_platform(script_state& state, arguments& words, int) {
+    auto& platform = state.world.platform();
+    const auto what = words.next();
+    if (what == "down") {
+        platform.down = true;
+    } else if (what == "up") {
+        platform.down = false;
+    } else if (what == "lose-answers") {
+        platform.lose_answers = words.next_number();
+    } else if (what == "lose-requests") {
+        platform.lose_requests = words.next_number();
+    } else if (what == "late-writes") {
+        platform.late_writes = words.next_number();
+    } else if (what == "read-lag") {
+        platform.read_lag = words.next_time();
+    } else if (what == "delay") {
+        platform.delay = words.next_time();
+    } else {
+        words.fail("unknown state of the platform: " + what);
+    }
+}
+
+void run_server_state(script_state& state, arguments& words, int) {
+    auto& server = state.world.server(words.next());
+    const auto what = words.next();
+    if (what == "normal") {
+        server = {};
+    } else if (what == "draining") {
+        server.draining = true;
+    } else if (what == "refusing") {
+        server.refusing_connections = true;
+    } else if (what == "silent") {
+        server.silent = true;
+    } else if (what == "work") {
+        server.work = words.next_time();
+    } else if (what == "shed") {
+        server.shed_next = words.next_number();
+    } else if (what == "lose") {
+        server.lose_next = words.next_number();
+    } else if (what == "cut") {
+        server.cut_next = words.next_number();
+    } else {
+        words.fail("unknown state of a backend server: " + what);
+    }
+}
+
+void expect_answer(script_state& state, arguments& words, int line) {
+    const auto operation = words.next();
+    const auto wanted = words.rest();
+    const auto seen = state.world.record().latest_answer(operation);
+    expect(state, line, seen.starts_with(wanted),
+           operation + " got \"" + seen + "\", expected \"" + wanted + "\"");
+}
+
+void expect_runs(script_state& state, arguments& words, int line) {
+    const auto operation = words.next();
+    const auto wanted = words.next_number();
+    const auto seen = state.world.record().count_runs(operation);
+    expect(state, line, seen == wanted,
+           operation + " ran " + std::to_string(seen) + " times, expected " +
+               std::to_string(wanted));
+}
+
+void expect_current(script_state& state, arguments& words, int line) {
+    const auto name = words.next();
+    const auto seen = state.world.instance(name).table().version();
+    expect(state, line, seen == state.world.table_version(),
+           name + " holds version " + std::to_string(seen) + " of " +
+               std::to_string(state.world.table_version()));
+}
+
+void expect_ready(script_state& state, const std::string& name, bool wanted,
+                  int line) {
+    const bool seen = state.world.instance(name).status(state.world.now()).ready;
+    expect(state, line, seen == wanted,
+           name + (seen ? " is ready" : " is not ready"));
+}
+
+void expect_stopped(script_state& state, const std::string& name, bool wanted,
+                    int line) {
+    const bool seen = !state.world.is_running(name);
+    expect(state, line, seen == wanted,
+           name + (seen ? " has stopped" : " still runs"));
+}
+
+const std::map<std::string, verb>& verbs() {
+    static const std::map<std::string, verb> all{
+        {"instance",
+         [](auto& s, auto& w, int) { s.world.add_instance(w.next()); }},
+        {"service",
+         [](auto& s, auto& w, int) {
+             const auto key = w.next();
+             s.world.edit(key, w.rest_as_cells());
+         }},
+        {"server",
+         [](auto& s, auto& w, int) {
+             const auto service = w.next();
+             while (w.more()) {
+                 s.world.add_server(service, w.next());
+             }
+         }},
+        {"edit",
+         [](auto& s, auto& w, int) {
+             const auto key = w.next();
+             s.world.edit(key, w.rest_as_cells());
+         }},
+        {"ticket",
+         [](auto& s, auto& w, int) {
+             const auto name = w.next();
+             if (w.next() != "from") {
+                 w.fail("ticket is: ticket NAME from INSTANCE");
+             }
+             s.tickets[name] = s.world.mint(w.next());
+         }},
+        {"send", run_send},
+        {"hang-up", [](auto& s, auto& w, int) { s.world.hang_up(w.next()); }},
+        {"kill",
+         [](auto& s, auto& w, int) { s.world.kill_instance(w.next()); }},
+        {"stop",
+         [](auto& s, auto& w, int) { s.world.stop_instance(w.next()); }},
+        {"pause",
+         [](auto& s, auto& w, int) { s.world.pause_instance(w.next()); }},
+        {"wake",
+         [](auto& s, auto& w, int) { s.world.wake_instance(w.next()); }},
+        {"cut",
+         [](auto& s, auto& w, int) {
+             const auto a = w.next();
+             s.world.cut(a, w.next());
+         }},
+        {"heal",
+         [](auto& s, auto& w, int) {
+             const auto a = w.next();
+             s.world.heal(a, w.next());
+         }},
+        {"cut-platform",
+         [](auto& s, auto& w, int) { s.world.cut_platform(w.next()); }},
+        {"heal-platform",
+         [](auto& s, auto& w, int) { s.world.heal_platform(w.next()); }},
+        {"platform", run_platform},
+        {"server-state", run_server_state},
+        {"list-leaving",
+         [](auto& s, auto& w, int) { s.world.list_leaving(w.next()); }},
+        {"expect", expect_answer},
+        {"expect-runs", expect_runs},
+        {"expect-current", expect_current},
+        {"expect-ready",
+         [](auto& s, auto& w, int line) {
+             expect_ready(s, w.next(), true, line);
+         }},
+        {"expect-not-ready",
+         [](auto& s, auto& w, int line) {
+             expect_ready(s, w.next(), false, line);
+         }},
+        {"expect-stopped",
+         [](auto& s, auto& w, int line) {
+             expect_stopped(s, w.next(), true, line);
+         }},
+        {"expect-running",
+         [](auto& s, auto& w, int line) {
+             expect_stopped(s, w.next(), false, line);
+         }},
+    };
+    return all;
+}
+
+void run_step(script_state& state, const step& one) {
+    const auto found = verbs().find(one.words[0]);
+    if (found == verbs().end()) {
+        reject(state.file, one.line, "unknown verb " + one.words[0]);
+    }
+    arguments words(one, state.file);
+    try {
+        found->second(state, words, one.line);
+    } catch (const std::out_of_range&) {
+        reject(state.file, one.line, "no such instance or backend server");
+    }
+    if (words.more()) {
+        reject(state.file, one.line, "too many arguments");
+    }
+}
+
+} // namespace
+
+result run_script(std::string_view text, const std::string& name) {
+    const auto steps = parse(text, name);
+    script_state state;
+    state.file = name;
+    const auto start = state.world.now();
+    for (const auto& one : steps) {
+        state.world.run_for(start + one.at - state.world.now());
+        run_step(state, one);
+    }
+    for (const auto& problem : state.world.record().violations(
+             probes_per_second, leave_bound)) {
+        state.outcome.failures.push_back(name + ": " + problem);
+    }
+    return state.outcome;
+}
+
+result run_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) {
+        throw script_error(path + ": cannot be read");
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return run_script(content.str(), path);
+}
+
+} // namespace scenario
--- /dev/null
+++ b/test/support/fake_world.cpp
@@ -0,0 +1,684 @@
+#include "fake_world.hpp"
+
+#include <algorithm>
+
+namespace fake {
+
+namespace {
+
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration network_delay = milliseconds(1);
+constexpr duration connect_timeout = milliseconds(250);
+constexpr duration platform_timeout = milliseconds(100);
+constexpr duration late_effect = milliseconds(300);
+constexpr duration tick_interval = milliseconds(10);
+constexpr duration poll_interval = seconds(1);
+constexpr duration loss_notice = milliseconds(50);
+constexpr int status_ok = 200;
+
+std::string claim_operation(const operation_id& id) { return id.text; }
+
+} // namespace
+
+// One instance's life.
+struct world::node {
+    struct attempt {
+        call_id call{};
+        std::string server;
+        std::string content; // the operation that the answer belongs to
+        bool whole = false;
+        bool record = false;
+    };
+
+    struct open_call {
+        std::string operation;
+        arriving_call request;
+        std::optional<attempt_id> delivering;
+        bool answered = false; // by a forward's owner
+        std::string from;      // instance that forwarded it; empty: a caller
+        std::uint64_t from_life = 0;
+        call_id from_call{};
+    };
+
+    std::string name;
+    std::uint64_t life = 0;
+    std::unique_ptr<coordinator> decisions;
+    bool paused = false;
+    std::vector<std::function<void(node&)>> backlog;
+    std::map<attempt_id, attempt> attempts;
+    std::map<call_id, open_call> calls;
+};
+
+world::world(std::uint64_t seed) : engine_(seed) {
+    options.seed = seed;
+    options.key = shared_key;
+}
+
+world::~world() = default;
+
+void world::at(time_point when, std::function<void()> function) {
+    events_.emplace(std::max(when, now_), std::move(function));
+}
+
+void world::run_for(duration time) {
+    const auto end = now_ + time;
+    while (!events_.empty() && events_.begin()->first <= end) {
+        auto next = events_.extract(events_.begin());
+        now_ = next.key();
+        next.mapped()();
+    }
+    now_ = end;
+}
+
+void world::add_instance(const std::string& name) {
+    auto created = std::make_unique<node>();
+    created->name = name;
+    created->life = next_life_++;
+    auto own = options;
+    const auto host = "10.0.0." + std::to_string(next_port_++);
+    own.own.id = draw_incarnation(engine_);
+    own.own.peer_address = host + ":7000";
+    own.own.caller_address = host + ":8000";
+    own.own.failure_domain = "a";
+    own.seed = engine_();
+    created->decisions = std::make_unique<coordinator>(own, now_);
+    std::vector<std::string> seeds;
+    for (const auto& [other_name, other] : nodes_) {
+        seeds.push_back(other->decisions->own().peer_address);
+    }
+    created->decisions->set_seeds(seeds);
+    listed_.push_back({own.own.peer_address, true, false});
+    const auto life = created->life;
+    nodes_[name] = std::move(created);
+    poll_platform(name, life);
+    schedule_ticks(name, life);
+}
+
+void world::kill_instance(const std::string& name) { nodes_.erase(name); }
+
+void world::stop_instance(const std::string& name) {
+    const auto life = nodes_.at(name)->life;
+    on_node(name, life,
+            [this](node& self) { self.decisions->begin_stop(now_); });
+}
+
+void world::pause_instance(const std::string& name) {
+    nodes_.at(name)->paused = true;
+}
+
+// What arrived during the pause is seen before any timer.
+void world::wake_instance(const std::string& name) {
+    auto& self = *nodes_.at(name);
+    self.paused = false;
+    auto backlog = std::move(self.backlog);
+    self.backlog.clear();
+    for (auto& function : backlog) {
+        function(self);
+    }
+}
+
+bool world::is_running(const std::string& name) const {
+    return nodes_.contains(name);
+}
+
+coordinator& world::instance(const std::string& name) {
+    return *nodes_.at(name)->decisions;
+}
+
+std::vector<std::string> world::running_instances() const {
+    std::vector<std::string> names;
+    for (const auto& [name, self] : nodes_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+void world::cut(const std::string& a, const std::string& b) {
+    cuts_.insert(std::minmax(a, b));
+}
+
+void world::heal(const std::string& a, const std::string& b) {
+    cuts_.erase(std::minmax(a, b));
+}
+
+bool world::is_cut(const std::string& a, const std::string& b) const {
+    return cuts_.contains(std::minmax(a, b));
+}
+
+void world::cut_platform(const std::string& name) {
+    platform_cuts_.insert(name);
+}
+
+void world::heal_platform(const std::string& name) {
+    platform_cuts_.erase(name);
+}
+
+void world::add_server(const std::string& service, const std::string& name) {
+    servers_[name] = {};
+    const auto address = "10.1.0." + std::to_string(servers_.size()) + ":80";
+    server_addresses_[name] = address;
+    edit(service + "/" + name, {{"address", address}, {"slots", "3"}});
+}
+
+server_behaviour& world::server(const std::string& name) {
+    return servers_.at(name);
+}
+
+void world::edit(const std::string& key, std::vector<cell> cells) {
+    raw_row row;
+    row.key = key;
+    row.version = ++table_version_;
+    for (const auto& earlier : edits_) {
+        if (earlier.row.key == key) {
+            row.cells = earlier.row.cells;
+        }
+    }
+    for (auto& item : cells) {
+        std::erase_if(row.cells,
+                      [&](const cell& old) { return old.name == item.name; });
+        row.cells.push_back(std::move(item));
+    }
+    if (row.value_of("state") == "leaving") {
+        history_.left(key.substr(key.find('/') + 1), now_);
+    }
+    edits_.push_back({now_, std::move(row)});
+}
+
+void world::list_leaving(const std::string& server_name) {
+    listed_.push_back({server_addresses_.at(server_name), false, true});
+    history_.left(server_name, now_);
+}
+
+void world::on_node(const std::string& name, std::uint64_t life,
+                    std::function<void(node&)> function) {
+    const auto found = nodes_.find(name);
+    if (found == nodes_.end() || found->second->life != life) {
+        return;
+    }
+    auto& self = *found->second;
+    if (self.paused) {
+        self.backlog.push_back(std::move(function));
+        return;
+    }
+    function(self);
+}
+
+void world::answer_later(const node& to, duration delay,
+                         std::function<void(node&)> function) {
+    at(now_ + delay, [this, name = to.name, life = to.life,
+                      function = std::move(function)] {
+        on_node(name, life, function);
+    });
+}
+
+void world::schedule_ticks(const std::string& name, std::uint64_t life) {
+    at(now_ + tick_interval, [this, name, life] {
+        const auto found = nodes_.find(name);
+        if (found == nodes_.end() || found->second->life != life) {
+            return;
+        }
+        schedule_ticks(name, life);
+        auto& self = *found->second;
+        if (self.paused) {
+            return;
+        }
+        carry_out(self, self.decisions->on_tick(now_));
+        history_.saw_version(name + "#" + std::to_string(life),
+                             self.decisions->table().version());
+        if (self.decisions->may_exit(now_)) {
+            kill_instance(name);
+        }
+    });
+}
+
+bool world::platform_reachable(const node& at_node) const {
+    return !platform_.down && !platform_cuts_.contains(at_node.name);
+}
+
+void world::poll_platform(const std::string& name, std::uint64_t life) {
+    at(now_ + poll_interval, [this, name, life] {
+        const auto found = nodes_.find(name);
+        if (found != nodes_.end() && found->second->life == life) {
+            poll_platform(name, life);
+        }
+    });
+    const auto asked_at = now_;
+    on_node(name, life, [this, asked_at](node& self) {
+        if (!platform_reachable(self)) {
+            answer_later(self, platform_timeout, [this](node& later) {
+                later.decisions->on_platform_failed(now_);
+            });
+            return;
+        }
+        const auto held = self.decisions->table().version();
+        std::map<std::string, raw_row> rows;
+        std::uint64_t version = 0;
+        for (const auto& item : edits_) {
+            if (item.at + platform_.read_lag > now_) {
+                break;
+            }
+            version = item.row.version;
+            if (version > held) {
+                rows[item.row.key] = item.row;
+            }
+        }
+        std::vector<raw_row> list;
+        for (auto& [key, row] : rows) {
+            list.push_back(row);
+        }
+        answer_later(self, platform_.delay,
+                     [this, list, version, asked_at](node& later) {
+                         later.decisions->on_table(list, version, asked_at,
+                                                   now_);
+                         later.decisions->on_instance_list(listed_, now_);
+                     });
+    });
+}
+
+std::string world::mint(const std::string& instance_name) {
+    return instance(instance_name).mint_ticket(now_).value_or("");
+}
+
+void world::send(const std::string& instance_name, const send_options& what) {
+    const bool once = !what.ticket.empty() || !what.key.empty();
+    history_.sent({now_, what.operation, once, what.method == "POST"});
+    const auto found = nodes_.find(instance_name);
+    if (found == nodes_.end()) {
+        return;
+    }
+    arriving_call call;
+    call.id = call_id{next_call_++};
+    call.service = what.service;
+    call.method = what.method;
+    call.path = "/";
+    call.ticket = what.ticket;
+    call.idempotency_key = what.key;
+    call.time_left = what.time_left;
+    call.fingerprint = hash(what.operation);
+    answer_later(*found->second, network_delay,
+                 [this, call, operation = what.operation](node& self) {
+                     node::open_call entry;
+                     entry.operation = operation;
+                     entry.request = call;
+                     self.calls[call.id] = std::move(entry);
+                     carry_out(self, self.decisions->on_call(call, now_));
+                 });
+}
+
+void world::hang_up(const std::string& operation) {
+    for (const auto& [name, self] : nodes_) {
+        for (const auto& [id, call] : self->calls) {
+            if (call.operation == operation && call.from.empty()) {
+                answer_later(*self, duration::zero(), [this, id](node& at_node) {
+                    carry_out(at_node,
+                              at_node.decisions->on_caller_gone(id, now_));
+                });
+            }
+        }
+    }
+}
+
+struct world::action_runner {
+    world& self;
+    node& at_node;
+
+    void operator()(const start_attempt& order) const {
+        self.run_on_server(at_node, order);
+    }
+    void operator()(const cancel_attempt& order) const {
+        at_node.attempts.erase(order.attempt);
+    }
+    void operator()(const deliver_answer& order) const {
+        const auto call = at_node.calls.find(order.call);
+        if (call != at_node.calls.end()) {
+            call->second.delivering = order.attempt;
+        }
+    }
+    void operator()(const finish_call& order) const {
+        self.finish_delivered(at_node, order);
+    }
+    void operator()(const forward_call& order) const {
+        self.forward(at_node, order);
+    }
+    void operator()(const replay_answer& order) const {
+        self.finish(at_node, order.call, completed{}, order.answer.body);
+    }
+    void operator()(const lacewingbeam::write_claims& order) const {
+        self.write_claims(at_node, order);
+    }
+    void operator()(const lacewingbeam::read_claim& order) const {
+        self.read_claim(at_node, order);
+    }
+    void operator()(const lacewingbeam::write_journal& order) const {
+        self.write_journal(at_node, order);
+    }
+    void operator()(const lacewingbeam::read_journal& order) const {
+        self.read_journal(at_node, order);
+    }
+    void operator()(const probe_server& order) const {
+        self.probe(at_node, order);
+    }
+    void operator()(const lacewingbeam::send_message& order) const {
+        self.send_message(at_node, order);
+    }
+};
+
+void world::carry_out(node& at_node, coordinator::actions actions) {
+    for (const auto& item : actions) {
+        std::visit(action_runner{*this, at_node}, item);
+    }
+}
+
+void world::end_attempt(const std::string& name, std::uint64_t life,
+                        attempt_id attempt, attempt_result result,
+                        std::optional<recorded_answer> answer) {
+    on_node(name, life, [this, attempt, result, answer](node& self) {
+        const auto found = self.attempts.find(attempt);
+        if (found == self.attempts.end()) {
+            return;
+        }
+        const bool whole = std::holds_alternative<attempt_completed>(result);
+        found->second.whole = whole;
+        const auto server = found->second.server;
+        if (whole) {
+            self.decisions->on_report({"svc", server},
+                                      {double(busy_[server]), 0},
+                                      servers_.at(server).draining, now_);
+            carry_out(self, self.decisions->on_head(attempt, now_));
+        }
+        carry_out(self, self.decisions->on_attempt_ended(attempt, result,
+                                                         answer, now_));
+        self.attempts.erase(attempt);
+    });
+}
+
+void world::run_on_server(node& at_node, const start_attempt& order) {
+    const auto call = at_node.calls.find(order.call);
+    if (call == at_node.calls.end()) {
+        return;
+    }
+    const auto operation = call->second.operation;
+    const auto server_name = order.server.backend_server;
+    at_node.attempts[order.attempt] = {order.call, server_name, operation,
+                                       false, order.record_answer};
+    const auto name = at_node.name;
+    const auto life = at_node.life;
+    const auto id = order.attempt;
+    const bool record = order.record_answer;
+    const auto refuse = [this, name, life, id](not_run_reason reason) {
+        at(now_ + network_delay, [this, name, life, id, reason] {
+            end_attempt(name, life, id, attempt_refused{reason}, {});
+        });
+    };
+    at(now_ + network_delay, [this, name, life, id, operation, server_name,
+                              record, refuse] {
+        auto& how = servers_.at(server_name);
+        if (how.refusing_connections) {
+            refuse(not_run_reason::connect_failed);
+        } else if (how.draining) {
+            refuse(not_run_reason::draining);
+        } else if (how.shed_next > 0 || busy_[server_name] >= how.slots) {
+            how.shed_next -= how.shed_next > 0 ? 1 : 0;
+            refuse(not_run_reason::shed);
+        } else {
+            history_.ran({now_, operation, server_name});
+            ++busy_[server_name];
+            at(now_ + how.work, [this, name, life, id, operation, server_name,
+                                 record] {
+                --busy_[server_name];
+                auto& later = servers_.at(server_name);
+                if (later.silent) {
+                    return;
+                }
+                attempt_result result = attempt_completed{};
+                duration delay = network_delay;
+                if (later.lose_next > 0) {
+                    --later.lose_next;
+                    result = attempt_lost{may_have_run_reason::connection_lost};
+                    delay = loss_notice;
+                } else if (later.cut_next > 0) {
+                    --later.cut_next;
+                    on_node(name, life, [this, id](node& self) {
+                        carry_out(self, self.decisions->on_head(id, now_));
+                    });
+                    result =
+                        attempt_lost{may_have_run_reason::answer_truncated};
+                }
+                std::optional<recorded_answer> answer;
+                if (record && std::holds_alternative<attempt_completed>(result)) {
+                    answer = recorded_answer{status_ok, {}, operation};
+                }
+                at(now_ + delay, [this, name, life, id, result, answer] {
+                    end_attempt(name, life, id, result, answer);
+                });
+            });
+        }
+    });
+}
+
+void world::finish_delivered(node& at_node, const finish_call& order) {
+    const auto call = at_node.calls.find(order.call);
+    if (call == at_node.calls.end()) {
+        return;
+    }
+    std::optional<std::string> content;
+    if (call->second.delivering) {
+        const auto attempt = at_node.attempts.find(*call->second.delivering);
+        if (attempt != at_node.attempts.end() && attempt->second.whole) {
+            content = attempt->second.content;
+        }
+    }
+    finish(at_node, order.call, order.outcome, content);
+}
+
+void world::finish(node& at_node, call_id id, const verdict& outcome,
+                   const std::optional<std::string>& answer) {
+    const auto found = at_node.calls.find(id);
+    if (found == at_node.calls.end()) {
+        return;
+    }
+    const auto call = found->second;
+    at_node.calls.erase(found);
+    if (call.answered) {
+        return;
+    }
+    if (call.from.empty()) {
+        history_.answered({now_, call.operation, outcome, answer, false});
+        return;
+    }
+    if (is_cut(at_node.name, call.from)) {
+        return;
+    }
+    at(now_ + network_delay, [this, call, outcome, answer] {
+        on_node(call.from, call.from_life, [this, call, outcome,
+                                             answer](node& origin) {
+            const auto waiting = origin.calls.find(call.from_call);
+            if (waiting == origin.calls.end()) {
+                return;
+            }
+            waiting->second.answered = true;
+            history_.answered({now_, call.operation, outcome, answer, false});
+            carry_out(origin, origin.decisions->on_forward_ended(
+                                  call.from_call, forward_completed{}, now_));
+        });
+    });
+}
+
+world::node* world::find_node(const std::string& address) {
+    const auto host = address.substr(0, address.find(':'));
+    for (const auto& [name, self] : nodes_) {
+        const auto& own = self->decisions->own().peer_address;
+        if (own.substr(0, own.find(':')) == host) {
+            return self.get();
+        }
+    }
+    return nullptr;
+}
+
+void world::forward(node& from, const forward_call& order) {
+    const auto id = order.call;
+    const auto end = [this, id](node& self, const forward_result& result) {
+        carry_out(self, self.decisions->on_forward_ended(id, result, now_));
+    };
+    auto* target = find_node(order.caller_address);
+    if (target == nullptr) {
+        answer_later(from, network_delay, [end](node& self) {
+            end(self, forward_unreachable{});
+        });
+        return;
+    }
+    if (is_cut(from.name, target->name)) {
+        answer_later(from, connect_timeout, [end](node& self) {
+            end(self, forward_unreachable{});
+        });
+        return;
+    }
+    if (target->decisions->own().id != order.owner) {
+        answer_later(from, network_delay,
+                     [end](node& self) { end(self, forward_refused{}); });
+        return;
+    }
+    const auto& origin = from.calls.at(id);
+    node::open_call entry;
+    entry.operation = origin.operation;
+    entry.request = origin.request;
+    entry.request.id = call_id{next_call_++};
+    entry.request.forwarded = true;
+    entry.request.time_left = order.time_left;
+    entry.from = from.name;
+    entry.from_life = from.life;
+    entry.from_call = id;
+    answer_later(*target, network_delay, [this, entry](node& self) {
+        self.calls[entry.request.id] = entry;
+        carry_out(self, self.decisions->on_call(entry.request, now_));
+    });
+}
+
+void world::commit_claims(const std::vector<claim>& claims) {
+    for (const auto& item : claims) {
+        claims_.emplace(item.key, item);
+    }
+}
+
+void world::write_claims(node& from, const lacewingbeam::write_claims& order) {
+    const auto number = order.batch.number;
+    const auto unknown = [this, number](node& self) {
+        carry_out(self, self.decisions->on_claims_unknown(number, now_));
+    };
+    std::vector<claim> existing;
+    for (const auto& item : order.batch.claims) {
+        const auto found = claims_.find(item.key);
+        if (found != claims_.end()) {
+            existing.push_back(found->second);
+        }
+    }
+    const auto lost = [&](unsigned& left) {
+        const bool hit = left > 0;
+        left -= hit ? 1 : 0;
+        return hit;
+    };
+    if (!platform_reachable(from) || platform_.writes_down ||
+        lost(platform_.lose_requests)) {
+        answer_later(from, platform_timeout, unknown);
+    } else if (!existing.empty()) {
+        answer_later(from, platform_.delay,
+                     [this, number, existing](node& self) {
+                         carry_out(self, self.decisions->on_claims_conflict(
+                                             number, existing, now_));
+                     });
+    } else if (lost(platform_.late_writes)) {
+        answer_later(from, platform_timeout, unknown);
+        at(now_ + late_effect, [this, claims = order.batch.claims] {
+            const bool free = std::none_of(
+                claims.begin(), claims.end(), [this](const claim& item) {
+                    return claims_.contains(item.key);
+                });
+            if (free) {
+                commit_claims(claims);
+            }
+        });
+    } else {
+        commit_claims(order.batch.claims);
+        if (lost(platform_.lose_answers)) {
+            answer_later(from, platform_timeout, unknown);
+            return;
+        }
+        answer_later(from, platform_.delay, [this, number](node& self) {
+            carry_out(self, self.decisions->on_claims_committed(number, now_));
+        });
+    }
+}
+
+void world::read_claim(node& from, const lacewingbeam::read_claim& order) {
+    const auto key = order.key;
+    if (!platform_reachable(from)) {
+        answer_later(from, platform_timeout, [this, key](node& self) {
+            carry_out(self, self.decisions->on_claim_read_failed(key, now_));
+        });
+        return;
+    }
+    std::optional<claim> row;
+    const auto found = claims_.find(key);
+    if (found != claims_.end()) {
+        row = found->second;
+    }
+    answer_later(from, platform_.delay, [this, key, row](node& self) {
+        carry_out(self, self.decisions->on_claim_read(key, row, now_));
+    });
+}
+
+void world::write_journal(node& from,
+                          const lacewingbeam::write_journal& order) {
+    if (platform_reachable(from) && !platform_.writes_down) {
+        for (const auto& entry : order.entries) {
+            journal_[claim_operation(entry.operation)] = entry.answer;
+        }
+    }
+}
+
+void world::read_journal(node& from, const lacewingbeam::read_journal& order) {
+    const auto id = order.call;
+    std::optional<recorded_answer> answer;
+    const auto found = journal_.find(claim_operation(order.operation));
+    if (platform_reachable(from) && found != journal_.end()) {
+        answer = found->second;
+    }
+    const auto delay =
+        platform_reachable(from) ? platform_.delay : platform_timeout;
+    answer_later(from, delay, [this, id, answer](node& self) {
+        carry_out(self, self.decisions->on_journal(id, answer, now_));
+    });
+}
+
+void world::probe(node& from, const probe_server& order) {
+    const auto server_name = order.server.backend_server;
+    history_.probed({now_, server_name});
+    answer_later(from, 2 * network_delay, [this, order](node& self) {
+        const auto& how = servers_.at(order.server.backend_server);
+        if (how.refusing_connections || how.silent) {
+            self.decisions->on_probe_failed(order.server, now_);
+        } else {
+            const double running = busy_[order.server.backend_server];
+            self.decisions->on_report(order.server, {running, 0},
+                                      how.draining, now_);
+        }
+    });
+}
+
+void world::send_message(node& from, const lacewingbeam::send_message& order) {
+    auto* target = find_node(order.peer_address);
+    if (target == nullptr || is_cut(from.name, target->name)) {
+        return;
+    }
+    const auto sender = from.decisions->own().peer_address;
+    answer_later(*target, network_delay,
+                 [this, sender, message = order.message](node& self) {
+                     carry_out(self, self.decisions->on_message(
+                                         sender, message, now_));
+                 });
+}
+
+} // namespace fake
--- /dev/null
+++ b/test/support/fake_world.hpp
@@ -0,0 +1,170 @@
+#ifndef LACEWINGBEAM_TEST_SUPPORT_FAKE_WORLD_HPP
+#define LACEWINGBEAM_TEST_SUPPORT_FAKE_WORLD_HPP
+
+#include "history.hpp"
+#include "lacewingbeam/coordinator.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// Fakes at the coordinator's interfaces, in virtual time: a platform, backend
+// servers and the messages between instances. It knows nothing of the
+// coordinator's inside and keeps a history of what really ran.
+namespace fake {
+
+using lacewingbeam::arriving_call;
+using lacewingbeam::call_id;
+using lacewingbeam::coordinator;
+using lacewingbeam::duration;
+using lacewingbeam::time_point;
+
+inline constexpr const char* shared_key = "a key for tests only, 32 bytes.";
+
+struct server_behaviour {
+    unsigned slots = 3;
+    duration work = std::chrono::milliseconds(5);
+    bool draining = false;
+    bool refusing_connections = false;
+    bool silent = false; // takes requests, runs them, never answers
+    unsigned shed_next = 0;
+    unsigned lose_next = 0; // runs whose answer is lost
+    unsigned cut_next = 0;  // runs whose answer breaks off after its head
+};
+
+struct platform_behaviour {
+    bool down = false;
+    bool writes_down = false;
+    duration delay = std::chrono::milliseconds(3);
+    unsigned lose_answers = 0; // writes that take effect without an answer
+    unsigned lose_requests = 0; // writes without answer and effect
+    unsigned late_writes = 0;   // writes that take effect after the timeout
+    duration read_lag{};
+};
+
+// How a caller sends a call.
+struct send_options {
+    std::string operation; // the caller's own name for the work
+    std::string service = "svc";
+    std::string method = "POST";
+    std::string ticket;
+    std::string key;
+    std::optional<duration> time_left;
+};
+
+class world {
+public:
+    explicit world(std::uint64_t seed);
+    ~world();
+
+    time_point now() const { return now_; }
+    history& record() { return history_; }
+
+    // Options of instances made from now on, except name and identity.
+    lacewingbeam::coordinator_options options;
+
+    void add_instance(const std::string& name);
+    void kill_instance(const std::string& name);
+    void stop_instance(const std::string& name); // planned
+    void pause_instance(const std::string& name);
+    void wake_instance(const std::string& name);
+    bool is_running(const std::string& name) const;
+    coordinator& instance(const std::string& name);
+    std::vector<std::string> running_instances() const;
+
+    // Messages and forwarded calls between two instances are lost.
+    void cut(const std::string& a, const std::string& b);
+    void heal(const std::string& a, const std::string& b);
+
+    // The instance cannot reach the platform.
+    void cut_platform(const std::string& name);
+    void heal_platform(const std::string& name);
+
+    void add_server(const std::string& service, const std::string& name);
+    server_behaviour& server(const std::string& name);
+    platform_behaviour& platform() { return platform_; }
+
+    // Edits the operators' table; the rows are as raw_row's cells.
+    void edit(const std::string& key, std::vector<lacewingbeam::cell> cells);
+    std::uint64_t table_version() const { return table_version_; }
+    void list_leaving(const std::string& server_address);
+
+    // A caller's request to an instance. Its outcome lands in the history.
+    void send(const std::string& instance_name, const send_options& what);
+    std::string mint(const std::string& instance_name);
+
+    // The callers of the operation's open calls go away.
+    void hang_up(const std::string& operation);
+
+    // Moves virtual time on.
+    void run_for(duration time);
+
+    // Something to do later.
+    void at(time_point when, std::function<void()> function);
+
+private:
+    struct node;
+
+    void schedule_ticks(const std::string& name, std::uint64_t life);
+    void poll_platform(const std::string& name, std::uint64_t life);
+    void on_node(const std::string& name, std::uint64_t life,
+                 std::function<void(node&)> function);
+    void carry_out(node& at_node, coordinator::actions actions);
+    void run_on_server(node& at_node,
+                       const lacewingbeam::start_attempt& order);
+    void end_attempt(const std::string& name, std::uint64_t life,
+                     lacewingbeam::attempt_id attempt,
+                     lacewingbeam::attempt_result result,
+                     std::optional<lacewingbeam::recorded_answer> answer);
+    void forward(node& from, const lacewingbeam::forward_call& order);
+    void write_claims(node& from, const lacewingbeam::write_claims& order);
+    void read_claim(node& from, const lacewingbeam::read_claim& order);
+    void write_journal(node& from, const lacewingbeam::write_journal& order);
+    void read_journal(node& from, const lacewingbeam::read_journal& order);
+    void probe(node& from, const lacewingbeam::probe_server& order);
+    void send_message(node& from, const lacewingbeam::send_message& order);
+    void finish(node& at_node, call_id call,
+                const lacewingbeam::verdict& outcome,
+                const std::optional<std::string>& answer);
+    void finish_delivered(node& at_node,
+                          const lacewingbeam::finish_call& order);
+    void answer_later(const node& to, duration delay,
+                      std::function<void(node&)> function);
+    void commit_claims(const std::vector<lacewingbeam::claim>& claims);
+    bool platform_reachable(const node& at_node) const;
+    node* find_node(const std::string& address);
+    bool is_cut(const std::string& a, const std::string& b) const;
+
+    struct action_runner;
+
+    time_point now_{std::chrono::seconds(1000)};
+    std::multimap<time_point, std::function<void()>> events_;
+    lacewingbeam::random_engine engine_;
+    history history_;
+    std::map<std::string, std::unique_ptr<node>> nodes_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::string> platform_cuts_;
+    std::map<std::string, server_behaviour> servers_;
+    std::map<std::string, unsigned> busy_; // slots in use, by server
+    std::map<std::string, std::string> server_addresses_;
+    platform_behaviour platform_;
+    struct table_edit {
+        time_point at;
+        lacewingbeam::raw_row row;
+    };
+    std::vector<table_edit> edits_; // in order of version
+    std::uint64_t table_version_ = 0;
+    std::map<std::string, lacewingbeam::claim> claims_;
+    std::map<std::string, lacewingbeam::recorded_answer> journal_;
+    std::vector<lacewingbeam::listed_instance> listed_;
+    std::uint64_t next_life_ = 1;
+    std::uint64_t next_call_ = 1;
+    unsigned next_port_ = 1;
+};
+
+} // namespace fake
+
+#endif
--- /dev/null
+++ b/test/support/history.cpp
@@ -0,0 +1,154 @@
+#include "history.hpp"
+
+#include <algorithm>
+#include <deque>
+
+namespace fake {
+
+namespace {
+
+using lacewingbeam::completed;
+using lacewingbeam::not_run;
+
+std::string at_text(time_point at) {
+    return " at " + std::to_string(lacewingbeam::to_ms(at.time_since_epoch())) +
+           " ms";
+}
+
+} // namespace
+
+void history::left(const std::string& server, time_point at) {
+    left_.emplace(server, at);
+}
+
+void history::saw_version(const std::string& instance, std::uint64_t version) {
+    auto& last = versions_[instance];
+    if (version < last) {
+        reverts_.push_back(instance + " went back from version " +
+                           std::to_string(last) + " to " +
+                           std::to_string(version));
+    }
+    last = version;
+}
+
+std::size_t history::count_runs(const std::string& operation) const {
+    return static_cast<std::size_t>(
+        std::count_if(runs_.begin(), runs_.end(), [&](const run_event& run) {
+            return run.operation == operation;
+        }));
+}
+
+std::string history::latest_answer(const std::string& operation) const {
+    for (auto i = answers_.rbegin(); i != answers_.rend(); ++i) {
+        if (i->operation == operation) {
+            return to_string(i->outcome);
+        }
+    }
+    return "none";
+}
+
+std::vector<std::string> history::violations(double probe_rate,
+                                             duration leave_bound) const {
+    auto found = reverts_;
+    check_runs(found);
+    check_not_run(found);
+    check_answers(found);
+    check_probes(probe_rate, found);
+    check_leaving(leave_bound, found);
+    return found;
+}
+
+// A non-idempotent operation runs once at most over all sends that bear its
+// ticket or key, and once for each send without.
+void history::check_runs(std::vector<std::string>& out) const {
+    std::map<std::string, std::size_t> allowed;
+    for (const auto& send : sends_) {
+        if (!send.non_idempotent) {
+            continue;
+        }
+        auto& count = allowed[send.operation];
+        count = send.at_most_once ? 1 : count + 1;
+    }
+    for (const auto& [operation, count] : allowed) {
+        const auto runs = count_runs(operation);
+        if (runs > count) {
+            out.push_back("doubled: " + operation + " ran " +
+                          std::to_string(runs) + " times");
+        }
+    }
+}
+
+// Who is told "not run" must be able to rely on it: nothing ran before, and
+// nothing runs later unless the operation is sent again.
+void history::check_not_run(std::vector<std::string>& out) const {
+    for (const auto& answer : answers_) {
+        if (!std::holds_alternative<not_run>(answer.outcome)) {
+            continue;
+        }
+        time_point last_send;
+        for (const auto& send : sends_) {
+            if (send.operation == answer.operation) {
+                last_send = std::max(last_send, send.at);
+            }
+        }
+        for (const auto& run : runs_) {
+            const bool resent = last_send > answer.at;
+            const bool before = run.at <= answer.at;
+            if (run.operation == answer.operation && (before || !resent)) {
+                out.push_back("false not_run: " + answer.operation + " " +
+                              to_string(answer.outcome) + at_text(answer.at) + ", ran" + at_text(run.at));
+            }
+        }
+    }
+}
+
+void history::check_answers(std::vector<std::string>& out) const {
+    for (const auto& answer : answers_) {
+        if (!std::holds_alternative<completed>(answer.outcome)) {
+            continue;
+        }
+        if (!answer.content || *answer.content != answer.operation) {
+            out.push_back("crossed: " + answer.operation + " got \"" +
+                          answer.content.value_or("") + "\"" +
+                          at_text(answer.at));
+        }
+        if (answer.truncated) {
+            out.push_back("truncated: " + answer.operation +
+                          at_text(answer.at));
+        }
+    }
+}
+
+// In no window more probes than the budget allows.
+void history::check_probes(double rate, std::vector<std::string>& out) const {
+    constexpr duration window = std::chrono::seconds(60);
+    const double allowed =
+        rate * std::chrono::duration<double>(window).count();
+    std::map<std::string, std::deque<time_point>> recent;
+    for (const auto& probe : probes_) {
+        auto& times = recent[probe.server];
+        times.push_back(probe.at);
+        while (times.front() + window <= probe.at) {
+            times.pop_front();
+        }
+        if (static_cast<double>(times.size()) > allowed) {
+            out.push_back("probes: " + probe.server + " got " +
+                          std::to_string(times.size()) + " within a minute" +
+                          at_text(probe.at));
+            return;
+        }
+    }
+}
+
+void history::check_leaving(duration bound,
+                            std::vector<std::string>& out) const {
+    for (const auto& run : runs_) {
+        const auto left = left_.find(run.server);
+        if (left != left_.end() && run.at > left->second + bound) {
+            out.push_back("leaving: " + run.server + " got " + run.operation +
+                          at_text(run.at) + ", left" + at_text(left->second));
+        }
+    }
+}
+
+} // namespace fake
