Do not hand on a table that is not trusted

Random schedule 16969: every instance that had seen an edit was replaced during an outage of the platform; the one left over had been paused and gave its old table to the new ones, which served by it: the edit reverted. An instance that refuses work for lack of confirmation now answers no table request.

--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -167,6 +167,11 @@
     if (const auto* beat = std::get_if<heartbeat>(&message)) {
         on_heartbeat(from, *beat, now, out);
     } else if (const auto* request = std::get_if<table_request>(&message)) {
+        // An instance that does not trust its own table hands none on: one
+        // that just started could take it for the present one.
+        if (is_unconfirmed(now)) {
+            return out;
+        }
         out.emplace_back(send_message{
             from, table_rows{request->number, table_.version(),
                              table_age(now),
