--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -153,7 +153,8 @@
 
     // Attempts. `answer` is the whole answer where the attempt asked for it
     // to be recorded and it was small enough.
-    actions on_head(attempt_id attempt, time_point now);
+    // `server_error`: the answer says that the backend server itself failed.
+    actions on_head(attempt_id attempt, bool server_error, time_point now);
     actions on_attempt_ended(attempt_id attempt, const attempt_result& result,
                              std::optional<recorded_answer> answer,
                              time_point now);
@@ -281,6 +282,8 @@
     struct forwarded_call {
         operation_id operation;
         time_point deadline;
+        // What the caller is told if the journal does not know the answer.
+        may_have_run_reason doubt = may_have_run_reason::minter_unreachable;
     };
 
     std::map<call_id, operation_call> operations_;
--- a/include/lacewingbeam/dispatcher.hpp
+++ b/include/lacewingbeam/dispatcher.hpp
@@ -118,8 +118,8 @@
     actions submit(const call& arriving, time_point now);
 
     // The head of an attempt's answer is there (or, for a short answer, all
-    // of it).
-    actions on_head(attempt_id attempt, time_point now);
+    // of it). `server_error`: it says that the backend server itself failed.
+    actions on_head(attempt_id attempt, bool server_error, time_point now);
 
     // An attempt ended.
     actions on_ended(attempt_id attempt, const attempt_result& result,
--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t max_streams = 64;
 constexpr duration stream_lifetime = seconds(10);
 constexpr int datagrams_per_wakeup = 64;
+constexpr int max_port_tries = 20;
 
 struct socket_address {
     sockaddr_storage storage{};
@@ -66,8 +67,7 @@
 peer_link::peer_link(event_loop& loop, const std::string& ip,
                      std::uint16_t port, std::string key)
     : loop_(loop), key_(std::move(key)), ip_(ip) {
-    bind(ip, port);
-    listen(ip);
+    open(ip, port);
     sweep_timer_ = loop.every(seconds(1), [this] { close_old(); });
 }
 
@@ -79,6 +79,22 @@
     close(socket_);
 }
 
+// A port that the kernel chose for UDP may be taken for TCP.
+void peer_link::open(const std::string& ip, std::uint16_t port) {
+    for (int tries = 1;; ++tries) {
+        bind(ip, port);
+        if (listen(ip)) {
+            return;
+        }
+        readable_.reset();
+        close(socket_);
+        if (port != 0 || tries == max_port_tries) {
+            throw error("cannot listen on peer port " +
+                        to_string(endpoint{ip, port_}));
+        }
+    }
+}
+
 void peer_link::bind(const std::string& ip, std::uint16_t port) {
     auto address = make_address({ip, port});
     socket_ = socket(address.storage.ss_family,
@@ -94,19 +110,14 @@
     event_add(readable_.get(), nullptr);
 }
 
-void peer_link::listen(const std::string& ip) {
+bool peer_link::listen(const std::string& ip) {
     auto address = make_address({ip, port_});
     constexpr int backlog = 64;
     listener_ = evconnlistener_new_bind(
         loop_.base(), on_accept, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
         backlog, address.get(), static_cast<int>(address.size));
-    if (listener_ == nullptr) {
-        readable_.reset();
-        close(socket_);
-        throw error("cannot listen on peer port " +
-                    to_string(endpoint{ip, port_}));
-    }
+    return listener_ != nullptr;
 }
 
 void peer_link::send(const std::string& peer_address,
--- a/src/adapters/peer_link.hpp
+++ b/src/adapters/peer_link.hpp
@@ -53,8 +53,9 @@
         ~stream();
     };
 
+    void open(const std::string& ip, std::uint16_t port);
     void bind(const std::string& ip, std::uint16_t port);
-    void listen(const std::string& ip);
+    bool listen(const std::string& ip);
     void receive();
     void take(const std::string& from, std::string_view bytes);
     void send_frame(const endpoint& to, std::string_view bytes);
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -172,7 +172,7 @@
     const auto position = static_cast<std::uint64_t>(arriving.id) %
                           holders.size();
     const auto& holder = holders[position];
-    forwarded_[arriving.id] = {{}, dispatch.deadline};
+    forwarded_[arriving.id].deadline = dispatch.deadline;
     out.emplace_back(forward_call{arriving.id, holder.id,
                                   holder.caller_address,
                                   dispatch.deadline - now});
@@ -247,7 +247,9 @@
                                      const incarnation& owner, time_point now,
                                      actions& out) {
     const auto id = waiting.dispatch.id;
-    forwarded_[id] = {waiting.operation, waiting.dispatch.deadline};
+    auto& entry = forwarded_[id];
+    entry.operation = waiting.operation;
+    entry.deadline = waiting.dispatch.deadline;
     const auto peer = membership_.find(owner, now);
     if (peer && !waiting.forwarded && owner != own().id &&
         waiting.dispatch.deadline > now) {
@@ -267,17 +269,21 @@
     if (found == forwarded_.end()) {
         return out;
     }
-    const auto entry = found->second;
+    auto& entry = found->second;
     const bool has_operation = !entry.operation.text.empty();
+    const bool lost = std::holds_alternative<forward_lost>(result);
     if (std::holds_alternative<forward_completed>(result)) {
         forwarded_.erase(found);
         finish(id, completed{}, {}, out);
-    } else if (std::holds_alternative<forward_lost>(result)) {
+    } else if (has_operation) {
+        if (lost) {
+            entry.doubt = may_have_run_reason::connection_lost;
+        }
+        out.emplace_back(read_journal{id, entry.operation});
+    } else if (lost) {
         forwarded_.erase(found);
         finish(id, may_have_run{may_have_run_reason::connection_lost},
                doubt_retry_after, out);
-    } else if (has_operation) {
-        out.emplace_back(read_journal{id, entry.operation});
     } else {
         forwarded_.erase(found);
         refuse(id, not_run_reason::connect_failed, default_retry_after, out);
@@ -290,14 +296,16 @@
                         time_point now) {
     observe(now);
     actions out;
-    if (forwarded_.erase(id) == 0) {
+    const auto found = forwarded_.find(id);
+    if (found == forwarded_.end()) {
         return out;
     }
+    const auto doubt = found->second.doubt;
+    forwarded_.erase(found);
     if (answer) {
         out.emplace_back(replay_answer{id, std::move(*answer)});
     } else {
-        finish(id, may_have_run{may_have_run_reason::minter_unreachable},
-               doubt_retry_after, out);
+        finish(id, may_have_run{doubt}, doubt_retry_after, out);
     }
     return out;
 }
@@ -324,10 +332,11 @@
     return mint_.mint(now);
 }
 
-coordinator::actions coordinator::on_head(attempt_id attempt, time_point now) {
+coordinator::actions coordinator::on_head(attempt_id attempt,
+                                          bool server_error, time_point now) {
     observe(now);
     actions out;
-    take(dispatcher_.on_head(attempt, now), out);
+    take(dispatcher_.on_head(attempt, server_error, now), out);
     return out;
 }
 
--- a/src/decisions/dispatcher.cpp
+++ b/src/decisions/dispatcher.cpp
@@ -260,7 +260,8 @@
     }
 }
 
-dispatcher::actions dispatcher::on_head(attempt_id attempt, time_point now) {
+dispatcher::actions dispatcher::on_head(attempt_id attempt, bool server_error,
+                                        time_point now) {
     actions out;
     const auto found = attempts_.find(attempt);
     if (found == attempts_.end()) {
@@ -273,11 +274,20 @@
     owner.delivering = true;
     auto& entry = services_.at(owner.info.service);
     const auto latency = now - found->second.sent_at;
-    if (auto* state = find_server(found->second.server)) {
-        state->on_answer(latency, owner.info.length, now);
-    }
-    if (owner.info.length == work_length::short_work) {
-        learn_latency(entry, to_ms(latency));
+    auto* state = find_server(found->second.server);
+    if (server_error) {
+        // A server that fails fast looks quick and idle; it must not attract
+        // work by that.
+        if (state != nullptr) {
+            state->on_failure(now);
+        }
+    } else {
+        if (state != nullptr) {
+            state->on_answer(latency, owner.info.length, now);
+        }
+        if (owner.info.length == work_length::short_work) {
+            learn_latency(entry, to_ms(latency));
+        }
     }
     cancel_others(owner, attempt, out);
     checks_.erase({owner.check_at, owner.info.id});
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -18,6 +18,7 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 constexpr int status_misdirected = 421;
+constexpr int first_server_error = 500;
 
 constexpr std::string_view tickets_path = "/.lacewingbeam/tickets";
 constexpr unsigned max_tickets = 100;
@@ -351,8 +352,10 @@
 }
 
 void call_gateway::report_head(attempt_id id) {
-    attempts_.at(id).reported = true;
-    decide(decisions_.on_head(id, loop_.now()));
+    auto& attempt = attempts_.at(id);
+    attempt.reported = true;
+    const bool server_error = attempt.head.status >= first_server_error;
+    decide(decisions_.on_head(id, server_error, loop_.now()));
 }
 
 void call_gateway::end_attempt(attempt_id id, const attempt_result& result) {
--- /dev/null
+++ b/test/integration/fleet.hpp
@@ -0,0 +1,96 @@
+#ifndef LACEWINGBEAM_TEST_INTEGRATION_FLEET_HPP
+#define LACEWINGBEAM_TEST_INTEGRATION_FLEET_HPP
+
+#include "http_call.hpp"
+#include "process.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+// Real processes on loopback: a platform stand-in, backend server stand-ins,
+// fault proxies and entry instances.
+namespace testing_support {
+
+struct instance_process {
+    std::unique_ptr<process> child;
+    std::string callers; // IP:port
+    std::string admin;
+    std::string peer;
+};
+
+struct proxy_process {
+    std::unique_ptr<process> child;
+    std::string address;
+    std::string control;
+};
+
+class fleet {
+public:
+    fleet();
+
+    // Adds a service row and a backend server with its row.
+    void add_service(const std::string& name, const json& cells);
+    void add_server(const std::string& service, const std::string& name,
+                    const std::vector<std::string>& options = {},
+                    const json& cells = json::object());
+
+    // A proxy in front of a backend server; its row then names the proxy.
+    proxy_process& put_proxy_before(const std::string& service,
+                                    const std::string& name);
+    proxy_process& put_proxy_before_platform();
+
+    // Starts an instance and waits until it is ready. `settings` are further
+    // lines of its settings file.
+    instance_process& add_instance(const std::string& settings = {});
+
+    // As many instances, each knowing the others.
+    void add_instances(unsigned count, const std::string& settings = {});
+
+    instance_process& instance(std::size_t i) { return *instances_.at(i); }
+    std::size_t instance_count() const { return instances_.size(); }
+    const std::string& platform() const { return platform_; }
+    const std::string& server(const std::string& name) const;
+    const temporary_directory& files() const { return files_; }
+    std::string log_of(std::size_t i) const;
+
+    void control(const std::string& address, const json& settings) const;
+    json run_log(const std::string& server_name) const;
+    unsigned count_runs(const std::string& operation) const;
+    unsigned count_doubled() const;
+
+    // Writes cells of a row, whatever is there.
+    void edit(const std::string& key, const json& cells);
+    std::uint64_t table_version() const { return table_version_; }
+
+    // Waits until the condition holds; false if it does not for long.
+    static bool eventually(const std::function<bool()>& condition);
+
+    json status(std::size_t i) const;
+
+private:
+    temporary_directory files_;
+    std::unique_ptr<process> platform_process_;
+    std::string platform_;
+    std::string platform_for_instances_;
+    std::map<std::string, std::unique_ptr<process>> servers_;
+    std::map<std::string, std::string> server_addresses_;
+    std::map<std::string, json> rows_;
+    std::vector<std::unique_ptr<proxy_process>> proxies_;
+    std::vector<std::unique_ptr<instance_process>> instances_;
+    std::uint64_t table_version_ = 0;
+};
+
+// A request for work at a backend server stand-in.
+http_question work(const std::string& address, const std::string& target,
+                   const std::string& operation,
+                   const std::map<std::string, std::string>& headers = {});
+
+std::string tool_path();
+std::string entry_path();
+
+} // namespace testing_support
+
+#endif
--- /dev/null
+++ b/test/integration/process.cpp
@@ -0,0 +1,164 @@
+#include "process.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <poll.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace testing_support {
+
+namespace {
+
+constexpr int silence_limit_ms = 20000;
+constexpr std::chrono::milliseconds poll_interval(10);
+
+std::vector<char*> make_arguments(const std::vector<std::string>& command) {
+    std::vector<char*> arguments;
+    for (const auto& word : command) {
+        arguments.push_back(const_cast<char*>(word.c_str()));
+    }
+    arguments.push_back(nullptr);
+    return arguments;
+}
+
+pid_t spawn(const std::vector<std::string>& command, int output,
+            const std::string& log) {
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    constexpr mode_t mode = 0600;
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, mode);
+    auto arguments = make_arguments(command);
+    pid_t pid = -1;
+    const int failed = posix_spawn(&pid, command[0].c_str(), &actions, nullptr,
+                                   arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0) {
+        throw std::runtime_error("cannot start " + command[0]);
+    }
+    return pid;
+}
+
+} // namespace
+
+process::process(const std::vector<std::string>& command,
+                 const std::string& log) {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("cannot make a pipe");
+    }
+    output_ = ends[0];
+    pid_ = spawn(command, ends[1], log);
+    close(ends[1]);
+}
+
+process::~process() {
+    if (is_running()) {
+        kill(pid_, SIGKILL);
+        reap(true);
+    }
+    close(output_);
+}
+
+std::string process::read_line() {
+    for (;;) {
+        const auto end = buffer_.find('\n');
+        if (end != std::string::npos) {
+            auto line = buffer_.substr(0, end);
+            buffer_.erase(0, end + 1);
+            return line;
+        }
+        pollfd ready{output_, POLLIN, 0};
+        char piece[512];
+        if (poll(&ready, 1, silence_limit_ms) <= 0) {
+            throw std::runtime_error("a process stays silent");
+        }
+        const auto size = read(output_, piece, sizeof piece);
+        if (size <= 0) {
+            throw std::runtime_error("a process ended at its start");
+        }
+        buffer_.append(piece, static_cast<std::size_t>(size));
+    }
+}
+
+void process::signal(int number) const { kill(pid_, number); }
+
+bool process::reap(bool block) {
+    int status = 0;
+    if (waitpid(pid_, &status, block ? 0 : WNOHANG) != pid_) {
+        return false;
+    }
+    pid_ = -1;
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return true;
+}
+
+bool process::is_running() { return pid_ > 0 && !reap(false); }
+
+bool process::wait_for_end(std::chrono::milliseconds limit) {
+    for (std::chrono::milliseconds waited{0}; waited < limit;
+         waited += poll_interval) {
+        if (!is_running()) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return !is_running();
+}
+
+int run_to_end(const std::vector<std::string>& command, std::string& output) {
+    const temporary_directory directory;
+    const auto log = directory.file("log");
+    process child(command, log);
+    output.clear();
+    try {
+        for (;;) {
+            output += child.read_line() + "\n";
+        }
+    } catch (const std::runtime_error&) {
+        // the end of its output
+    }
+    constexpr std::chrono::milliseconds limit(20000);
+    child.wait_for_end(limit);
+    output += read_file(log);
+    return child.exit_code();
+}
+
+temporary_directory::temporary_directory() {
+    auto pattern =
+        (std::filesystem::temp_directory_path() / "lacewingbeam-XXXXXX")
+            .string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot make a directory");
+    }
+    path_ = pattern;
+}
+
+temporary_directory::~temporary_directory() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+}
+
+std::string temporary_directory::write(const std::string& name,
+                                       const std::string& content) const {
+    std::ofstream(file(name)) << content;
+    return file(name);
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream input(path);
+    std::ostringstream content;
+    content << input.rdbuf();
+    return content.str();
+}
+
+} // namespace testing_support
--- /dev/null
+++ b/test/integration/process.hpp
@@ -0,0 +1,62 @@
+#ifndef LACEWINGBEAM_TEST_INTEGRATION_PROCESS_HPP
+#define LACEWINGBEAM_TEST_INTEGRATION_PROCESS_HPP
+
+#include <chrono>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+// Child processes of a test, ended with it.
+namespace testing_support {
+
+class process {
+public:
+    // Starts a program whose standard error goes to `log`.
+    process(const std::vector<std::string>& command, const std::string& log);
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+    ~process();
+
+    // The next line of its standard output. Throws if it ends or stays
+    // silent for long.
+    std::string read_line();
+
+    void signal(int number) const;
+
+    // True if it ended by itself within the time; then exit_code holds.
+    bool wait_for_end(std::chrono::milliseconds limit);
+    int exit_code() const { return exit_code_; }
+    bool is_running();
+
+private:
+    bool reap(bool block);
+
+    pid_t pid_ = -1;
+    int output_ = -1;
+    std::string buffer_;
+    int exit_code_ = -1;
+};
+
+// Runs a program to its end. `output` gets standard output and error.
+int run_to_end(const std::vector<std::string>& command, std::string& output);
+
+// A new directory for a test's files, removed when the object goes.
+class temporary_directory {
+public:
+    temporary_directory();
+    ~temporary_directory();
+    temporary_directory(const temporary_directory&) = delete;
+    temporary_directory& operator=(const temporary_directory&) = delete;
+
+    std::string file(const std::string& name) const { return path_ + "/" + name; }
+    std::string write(const std::string& name, const std::string& content) const;
+
+private:
+    std::string path_;
+};
+
+std::string read_file(const std::string& path);
+
+} // namespace testing_support
+
+#endif
--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -395,7 +395,7 @@
             self.decisions->on_report({"svc", server},
                                       {double(busy_[server]), 0},
                                       servers_.at(server).draining, now_);
-            carry_out(self, self.decisions->on_head(attempt, now_));
+            carry_out(self, self.decisions->on_head(attempt, false, now_));
         }
         carry_out(self, self.decisions->on_attempt_ended(attempt, result,
                                                          answer, now_));
@@ -451,7 +451,7 @@
                 } else if (later.cut_next > 0) {
                     --later.cut_next;
                     on_node(name, life, [this, id](node& self) {
-                        carry_out(self, self.decisions->on_head(id, now_));
+                        carry_out(self, self.decisions->on_head(id, false, now_));
                     });
                     result =
                         attempt_lost{may_have_run_reason::answer_truncated};
