--- a/include/lacewingbeam/choice.hpp
+++ b/include/lacewingbeam/choice.hpp
@@ -13,7 +13,7 @@
 
 // What is known of a backend server at the moment of a choice.
 struct candidate {
-    std::size_t index = 0;      // the caller's own numbering
+    std::size_t index = 0; // the caller's own numbering
     double weight = 1;
     unsigned slots = 1;
     unsigned own_in_flight = 0; // exact, this instance's
--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -31,12 +31,12 @@
     std::string service;
     std::string method;
     std::string path;
-    std::string ticket;          // header text; empty if none
-    std::string idempotency_key; // empty if none
-    unsigned attempt = 1;        // counted by the caller
-    std::uint64_t fingerprint = 0; // hash of the request's content
+    std::string ticket;                // header text; empty if none
+    std::string idempotency_key;       // empty if none
+    unsigned attempt = 1;              // counted by the caller
+    std::uint64_t fingerprint = 0;     // hash of the request's content
     std::optional<duration> time_left; // the caller's own deadline
-    bool forwarded = false; // by a peer; is never forwarded again
+    bool forwarded = false;            // by a peer; is never forwarded again
 };
 
 // Send the call to the instance that owns its operation and pass on its
@@ -226,8 +226,7 @@
     void answer_waiter(call_id id, const verdict& outcome,
                        const std::optional<recorded_answer>& answer,
                        duration retry_after, actions& out);
-    void finish_operation(const operation_id& operation,
-                          const verdict& outcome,
+    void finish_operation(const operation_id& operation, const verdict& outcome,
                           std::optional<recorded_answer> answer,
                           duration retry_after, actions& out);
     void begin_ticketed(const arriving_call& arriving, const call& dispatch,
@@ -245,8 +244,7 @@
                                  actions& out);
     void settle_claims(const std::vector<claim_event>& events, time_point now,
                        actions& out);
-    void on_claim_event(const claim_event& event, time_point now,
-                        actions& out);
+    void on_claim_event(const claim_event& event, time_point now, actions& out);
     void pump_claims(time_point now, actions& out);
     void pump_journal(time_point now, actions& out);
     void pump_probes(time_point now, actions& out);
--- a/include/lacewingbeam/dispatcher.hpp
+++ b/include/lacewingbeam/dispatcher.hpp
@@ -28,7 +28,7 @@
     std::string service;
     bool idempotent = false;
     work_length length = work_length::short_work;
-    time_point deadline; // for the head of the answer
+    time_point deadline;        // for the head of the answer
     bool record_answer = false; // keep the answer for resends
 };
 
@@ -169,7 +169,7 @@
         bool waiting = false;
         bool delivering = false;
         bool hedged = false;
-        time_point check_at; // when to look at it next
+        time_point check_at;              // when to look at it next
         std::optional<may_have_run> lost; // an earlier attempt may have run
     };
 
--- a/include/lacewingbeam/table.hpp
+++ b/include/lacewingbeam/table.hpp
@@ -53,11 +53,11 @@
     bool default_methods = true; // POST, PATCH and unknown: non-idempotent
     std::vector<request_rule> non_idempotent;
     std::vector<request_rule> long_work;
-    duration deadline{};       // from arrival to the answer's head
-    unsigned queue_limit = 0;  // calls waiting in one instance
-    unsigned limit = 0;        // calls running over all instances; 0: none
-    duration probe_cost{};     // backend server time for one probe
-    double probe_share = 0;    // share of one slot's time for probes, 0 to 1
+    duration deadline{};        // from arrival to the answer's head
+    unsigned queue_limit = 0;   // calls waiting in one instance
+    unsigned limit = 0;         // calls running over all instances; 0: none
+    duration probe_cost{};      // backend server time for one probe
+    double probe_share = 0;     // share of one slot's time for probes, 0 to 1
     unsigned max_instances = 0; // upper bound of instances that probe
 
     bool is_idempotent(std::string_view method, std::string_view path) const;
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -107,8 +107,7 @@
     }
     const auto now = loop_.now();
     auto& list = found->second;
-    if (list.empty() ||
-        now - list.back()->answered_at > limits.proven_within) {
+    if (list.empty() || now - list.back()->answered_at > limits.proven_within) {
         return nullptr;
     }
     auto* chosen = list.back();
@@ -298,11 +297,10 @@
     std::vector<exchange*> overdue;
     for (const auto& [id, value] : exchanges_) {
         const bool connecting = !value->bytes_sent;
-        const bool late = connecting
-                              ? now - value->started_at > options_.connect_timeout
-                              : value->head_seen && !value->paused &&
-                                    now - value->active_at >
-                                        options_.stall_timeout;
+        const bool late =
+            connecting ? now - value->started_at > options_.connect_timeout
+                       : value->head_seen && !value->paused &&
+                             now - value->active_at > options_.stall_timeout;
         if (late) {
             overdue.push_back(value.get());
         }
@@ -388,8 +386,8 @@
     if (value->over || value->unbounded) {
         return;
     }
-    const bool unreadable = error == EVREQ_HTTP_INVALID_HEADER ||
-                            error == EVREQ_HTTP_DATA_TOO_LONG;
+    const bool unreadable =
+        error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG;
     if (unreadable) {
         value->problem = exchange_problem::malformed;
     } else if (value->head_seen) {
--- a/src/adapters/connection_pool.hpp
+++ b/src/adapters/connection_pool.hpp
@@ -51,7 +51,7 @@
 
 // How one request uses the pool.
 struct exchange_limits {
-    std::size_t connections = 1; // to this address, in all
+    std::size_t connections = 1;              // to this address, in all
     duration proven_within = duration::max(); // reuse only connections that
                                               // answered this recently
 };
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -21,8 +21,7 @@
      "The instance could not start; the field reason says why."},
     {event_number::table_changed, log_level::info, "table_changed",
      "A newer version of the operators' table is in force."},
-    {event_number::table_row_rejected, log_level::warning,
-     "table_row_rejected",
+    {event_number::table_row_rejected, log_level::warning, "table_row_rejected",
      "A row could not be read; its last good state stays in force."},
     {event_number::platform_failed, log_level::warning, "platform_failed",
      "The platform did not answer; the last known table stays in force."},
@@ -66,8 +65,8 @@
 }
 
 void append_value(std::string& line, std::string_view value) {
-    if (!value.empty() && value.find_first_of(quoted_characters) ==
-                              std::string_view::npos) {
+    if (!value.empty() &&
+        value.find_first_of(quoted_characters) == std::string_view::npos) {
         line += value;
         return;
     }
@@ -88,7 +87,9 @@
 
 } // namespace
 
-std::span<const event_description> event_catalogue() { return catalogue; }
+std::span<const event_description> event_catalogue() {
+    return catalogue;
+}
 
 void configure_log(std::string_view level) {
     el::Configurations configuration;
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -51,8 +51,7 @@
                                     sigc::slot<void()> slot) {
     scoped_event made;
     made.slot_ = std::make_unique<sigc::slot<void()>>(std::move(slot));
-    made.handle_.reset(
-        event_new(base_, fd, what, run_slot, made.slot_.get()));
+    made.handle_.reset(event_new(base_, fd, what, run_slot, made.slot_.get()));
     return made;
 }
 
@@ -69,9 +68,13 @@
     return made;
 }
 
-void event_loop::run() { event_base_dispatch(base_); }
+void event_loop::run() {
+    event_base_dispatch(base_);
+}
 
-void event_loop::stop() { event_base_loopbreak(base_); }
+void event_loop::stop() {
+    event_base_loopbreak(base_);
+}
 
 timeval to_timeval(duration value) {
     constexpr auto per_second = duration::period::den;
--- a/src/adapters/http_listener.cpp
+++ b/src/adapters/http_listener.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-constexpr int allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                                EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-                                EVHTTP_REQ_PATCH;
+constexpr int allowed_methods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
 struct buffer_deleter {
     void operator()(evbuffer* value) const { evbuffer_free(value); }
@@ -43,8 +42,8 @@
     : request_(request) {
     auto* connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, on_closed, this);
-    const int fd = bufferevent_getfd(
-        evhttp_connection_get_bufferevent(connection));
+    const int fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     // evhttp does not read while a request is answered; this event shows a
@@ -54,7 +53,9 @@
     event_add(close_watch_.get(), nullptr);
 }
 
-incoming_request::~incoming_request() { abort(); }
+incoming_request::~incoming_request() {
+    abort();
+}
 
 evhttp_cmd_type incoming_request::method() const {
     return evhttp_request_get_command(request_);
@@ -195,8 +196,8 @@
                              std::uint16_t port, const listener_limits& limits)
     : loop_(loop), server_(evhttp_new(loop.base())) {
     evhttp_set_allowed_methods(server_, allowed_methods);
-    evhttp_set_max_headers_size(server_,
-                                static_cast<ev_ssize_t>(limits.max_header_bytes));
+    evhttp_set_max_headers_size(
+        server_, static_cast<ev_ssize_t>(limits.max_header_bytes));
     evhttp_set_max_body_size(server_,
                              static_cast<ev_ssize_t>(limits.max_body_bytes));
     const auto timeout = to_timeval(limits.idle_timeout);
@@ -211,7 +212,9 @@
     port_ = bound_port(evhttp_bound_socket_get_fd(socket_));
 }
 
-http_listener::~http_listener() { evhttp_free(server_); }
+http_listener::~http_listener() {
+    evhttp_free(server_);
+}
 
 void http_listener::stop_accepting() {
     if (socket_ != nullptr) {
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -9,8 +9,7 @@
 using prometheus::Histogram;
 
 const Histogram::BucketBoundaries latency_bounds{
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
-    0.2,   0.5,   1,     2,    5,    10,   60};
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60};
 
 template <class Metric>
 prometheus::Family<Metric>& make_family(prometheus::Registry& registry,
@@ -53,10 +52,9 @@
     const auto text = to_string(outcome);
     auto& counter = call_counters_[{service, text}];
     if (counter == nullptr) {
-        counter = &calls_.Add(
-            {{"service", service},
-             {"verdict", std::string(kind_name(outcome))},
-             {"reason", std::string(reason_name(outcome))}});
+        counter = &calls_.Add({{"service", service},
+                               {"verdict", std::string(kind_name(outcome))},
+                               {"reason", std::string(reason_name(outcome))}});
     }
     counter->Increment();
     auto& histogram = latencies_[service];
@@ -78,8 +76,8 @@
 
 void metrics::count_platform_request(std::string_view kind, bool good) {
     platform_
-        .Add({{"kind", std::string(kind)},
-              {"result", good ? "good" : "failed"}})
+        .Add(
+            {{"kind", std::string(kind)}, {"result", good ? "good" : "failed"}})
         .Increment();
 }
 
--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -62,7 +62,9 @@
 
 } // namespace
 
-peer_link::stream::~stream() { bufferevent_free(handle); }
+peer_link::stream::~stream() {
+    bufferevent_free(handle);
+}
 
 peer_link::peer_link(event_loop& loop, const std::string& ip,
                      std::uint16_t port, std::string key)
@@ -134,8 +136,7 @@
         return;
     }
     auto address = make_address(*to);
-    sendto(socket_, bytes.data(), bytes.size(), 0, address.get(),
-           address.size);
+    sendto(socket_, bytes.data(), bytes.size(), 0, address.get(), address.size);
 }
 
 void peer_link::on_readable(evutil_socket_t, short, void* argument) {
@@ -175,8 +176,8 @@
     created->opened_at = loop_.now();
     auto& value = *created;
     streams_.emplace(handle, std::move(created));
-    bufferevent_setcb(handle, on_stream_read, on_stream_write,
-                      on_stream_event, &value);
+    bufferevent_setcb(handle, on_stream_read, on_stream_write, on_stream_event,
+                      &value);
     bufferevent_enable(handle, EV_READ | EV_WRITE);
     return value;
 }
@@ -205,8 +206,8 @@
         close(fd);
         return;
     }
-    self->adopt(bufferevent_socket_new(self->loop_.base(), fd,
-                                       BEV_OPT_CLOSE_ON_FREE));
+    self->adopt(
+        bufferevent_socket_new(self->loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
 }
 
 void peer_link::on_stream_read(bufferevent*, void* argument) {
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -38,8 +38,8 @@
 }
 
 std::string escape(const std::string& text) {
-    char* escaped = evhttp_uriencode(text.data(),
-                                     static_cast<ev_ssize_t>(text.size()), 0);
+    char* escaped =
+        evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
     std::string result(escaped);
     free(escaped);
     return result;
@@ -124,13 +124,14 @@
             pending->status = 0;
         }
     };
-    events.end = [pending, finish] { finish(pending->status, {}); };
+    events.end = [pending, finish] {
+        finish(pending->status, {});
+    };
     events.failed = [finish](const exchange_failure& failure) {
         finish(0, failure.bytes_sent ? "no answer" : "not reachable");
     };
     const exchange_limits limits{max_connections, duration::max()};
-    const auto id =
-        pool_.start(address_, outgoing, limits, std::move(events));
+    const auto id = pool_.start(address_, outgoing, limits, std::move(events));
     pending->timer = loop_.every(timeout_, [this, id, finish] {
         pool_.cancel(id);
         finish(0, "timed out");
@@ -191,10 +192,10 @@
     const json body{{"writes", std::move(list)}};
     request(EVHTTP_REQ_POST, "/v1/transactions", body.dump(),
             [done](const answer& given) {
-                write_result result = write_unknown{
-                    given.problem.empty()
-                        ? "status " + std::to_string(given.status)
-                        : given.problem};
+                write_result result =
+                    write_unknown{given.problem.empty()
+                                      ? "status " + std::to_string(given.status)
+                                      : given.problem};
                 try {
                     if (given.status == status_ok) {
                         result = write_committed{
@@ -210,8 +211,7 @@
 }
 
 void platform_client::read_instances(
-    sigc::slot<void(const std::optional<std::vector<listed_instance>>&)>
-        done) {
+    sigc::slot<void(const std::optional<std::vector<listed_instance>>&)> done) {
     request(EVHTTP_REQ_GET, "/v1/instances", {}, [done](const answer& given) {
         std::optional<std::vector<listed_instance>> list;
         if (given.status == status_ok) {
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -71,8 +71,8 @@
     rule.name = field.at("name");
     rule.is_number = field.at("typeId") == "i32";
     const auto& fallback = field.at("default");
-    rule.fallback = fallback.is_string() ? fallback.get<std::string>()
-                                         : fallback.dump();
+    rule.fallback =
+        fallback.is_string() ? fallback.get<std::string>() : fallback.dump();
     rule.unit = annotation(field, "unit");
     rule.kind = annotation(field, "kind");
     rule.help = annotation(field, "help");
@@ -234,8 +234,7 @@
 }
 
 std::string check_value(const setting_rule& rule, const std::string& value) {
-    return rule.is_number ? check_number(rule, value)
-                          : check_text(rule, value);
+    return rule.is_number ? check_number(rule, value) : check_text(rule, value);
 }
 
 const section_rule* find_section(const std::vector<section_rule>& schema,
--- a/src/adapters/trace_recorder.cpp
+++ b/src/adapters/trace_recorder.cpp
@@ -27,16 +27,15 @@
 } // namespace
 
 std::optional<trace_context> parse_traceparent(std::string_view text) {
-    constexpr std::size_t size = 2 + 1 + trace_digits + 1 + span_digits + 1 +
-                                 flag_digits;
+    constexpr std::size_t size =
+        2 + 1 + trace_digits + 1 + span_digits + 1 + flag_digits;
     if (text.size() < size || text.substr(0, 2) == "ff" ||
         (text.substr(0, 2) == "00" && text.size() != size)) {
         return std::nullopt;
     }
     const auto trace_id = text.substr(3, trace_digits);
     const auto span_id = text.substr(4 + trace_digits, span_digits);
-    const auto flags =
-        text.substr(5 + trace_digits + span_digits, flag_digits);
+    const auto flags = text.substr(5 + trace_digits + span_digits, flag_digits);
     const bool good_form =
         is_hex(text.substr(0, 2), 2) && is_hex(trace_id, trace_digits) &&
         is_hex(span_id, span_digits) && is_hex(flags, flag_digits) &&
@@ -73,8 +72,7 @@
     if (parent) {
         return {parent->trace_id, draw_hex(span_digits), parent->sampled};
     }
-    boost::random::uniform_int_distribution<unsigned> pick(0,
-                                                           whole_sample - 1);
+    boost::random::uniform_int_distribution<unsigned> pick(0, whole_sample - 1);
     const bool sampled = pick(engine_) < sample_;
     return {draw_hex(trace_digits), draw_hex(span_digits), sampled};
 }
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -35,8 +35,8 @@
 }
 
 std::int16_t clamp_count(unsigned value) {
-    return static_cast<std::int16_t>(std::min<unsigned>(
-        value, std::numeric_limits<std::int16_t>::max()));
+    return static_cast<std::int16_t>(
+        std::min<unsigned>(value, std::numeric_limits<std::int16_t>::max()));
 }
 
 unsigned from_count(std::int16_t value) {
@@ -160,8 +160,8 @@
                               from_count(item.long_in_flight)});
     }
     for (const auto& item : value.leaving) {
-        beat.leaving.push_back({{item.service_name, item.backend_server},
-                                from_ms(item.age_ms)});
+        beat.leaving.push_back(
+            {{item.service_name, item.backend_server}, from_ms(item.age_ms)});
     }
     for (const auto& item : value.members) {
         beat.members.push_back(from_wire(item));
@@ -180,7 +180,6 @@
     return rows;
 }
 
-
 wire::peer_message parse(std::string_view content) {
     auto* bytes = const_cast<char*>(content.data()); // OBSERVE only reads
     const auto buffer = std::make_shared<TMemoryBuffer>(
--- a/src/decisions/choice.cpp
+++ b/src/decisions/choice.cpp
@@ -119,8 +119,8 @@
             boost::random::uniform_int_distribution<std::size_t> pick(
                 i, candidates.size() - 1);
             std::swap(order[i], order[pick(engine)]);
-            best = best == candidates.size() ? order[i]
-                                             : better(best, order[i]);
+            best =
+                best == candidates.size() ? order[i] : better(best, order[i]);
         }
         return best;
     }
--- a/src/decisions/claim_book.cpp
+++ b/src/decisions/claim_book.cpp
@@ -143,8 +143,8 @@
     return keys;
 }
 
-std::vector<claim_event>
-claim_book::on_read(const std::string& key, const std::optional<claim>& row) {
+std::vector<claim_event> claim_book::on_read(const std::string& key,
+                                             const std::optional<claim>& row) {
     const auto found = entries_.find(key);
     if (found == entries_.end() || found->second.at != stage::reading) {
         return {};
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -32,9 +32,9 @@
 
 operation_send make_send(const arriving_call& arriving, const ticket& value,
                          duration retention) {
-    return {ticket_operation(value), arriving.fingerprint, arriving.attempt,
-            arriving.id,             value.expires,
-            value.expires + retention};
+    return {ticket_operation(value), arriving.fingerprint,
+            arriving.attempt,        arriving.id,
+            value.expires,           value.expires + retention};
 }
 
 // The platform's key of a claim.
@@ -42,7 +42,9 @@
     return arriving.service + "/" + arriving.idempotency_key;
 }
 
-operation_id key_operation(const std::string& key) { return {"k/" + key}; }
+operation_id key_operation(const std::string& key) {
+    return {"k/" + key};
+}
 
 bool is_plain_key(std::string_view key) {
     return key.size() <= max_key_length &&
@@ -59,8 +61,7 @@
       claims_(options_.own.id, claims_per_batch),
       mint_(options_.own.id, options_.key, options_.ticket_lifetime),
       writes_(options_.writes_per_second, options_.writes_per_second, now),
-      next_heartbeat_(now), next_housekeeping_(now),
-      last_seen_(now) {}
+      next_heartbeat_(now), next_housekeeping_(now), last_seen_(now) {}
 
 // Why no call for the service can be taken at present.
 std::optional<not_run_reason>
@@ -118,9 +119,8 @@
     dispatch.idempotent =
         service->is_idempotent(arriving.method, arriving.path);
     dispatch.length = service->length_of(arriving.method, arriving.path);
-    dispatch.deadline +=
-        std::min(arriving.time_left.value_or(service->deadline),
-                 service->deadline);
+    dispatch.deadline += std::min(
+        arriving.time_left.value_or(service->deadline), service->deadline);
     return dispatch;
 }
 
@@ -169,12 +169,11 @@
     if (holders.empty()) {
         return false;
     }
-    const auto position = static_cast<std::uint64_t>(arriving.id) %
-                          holders.size();
+    const auto position =
+        static_cast<std::uint64_t>(arriving.id) % holders.size();
     const auto& holder = holders[position];
     forwarded_[arriving.id].deadline = dispatch.deadline;
-    out.emplace_back(forward_call{arriving.id, holder.id,
-                                  holder.caller_address,
+    out.emplace_back(forward_call{arriving.id, holder.id, holder.caller_address,
                                   dispatch.deadline - now});
     return true;
 }
@@ -209,9 +208,12 @@
     }
     const auto key = claim_key(arriving);
     const auto forget = now + options_.retention;
-    const operation_send send{key_operation(key), arriving.fingerprint,
-                              arriving.attempt,   arriving.id,
-                              forget,             forget};
+    const operation_send send{key_operation(key),
+                              arriving.fingerprint,
+                              arriving.attempt,
+                              arriving.id,
+                              forget,
+                              forget};
     if (begin_operation(arriving, dispatch, send, now, out)) {
         claiming_[key] = arriving.id;
         claims_.request(key, dispatch.deadline, engine_);
@@ -260,9 +262,9 @@
     out.emplace_back(read_journal{id, waiting.operation});
 }
 
-coordinator::actions
-coordinator::on_forward_ended(call_id id, const forward_result& result,
-                              time_point now) {
+coordinator::actions coordinator::on_forward_ended(call_id id,
+                                                   const forward_result& result,
+                                                   time_point now) {
     observe(now);
     actions out;
     const auto found = forwarded_.find(id);
@@ -332,8 +334,8 @@
     return mint_.mint(now);
 }
 
-coordinator::actions coordinator::on_head(attempt_id attempt,
-                                          bool server_error, time_point now) {
+coordinator::actions coordinator::on_head(attempt_id attempt, bool server_error,
+                                          time_point now) {
     observe(now);
     actions out;
     take(dispatcher_.on_head(attempt, server_error, now), out);
@@ -397,8 +399,7 @@
     if (answer) {
         out.emplace_back(replay_answer{id, *answer});
     } else if (std::holds_alternative<completed>(outcome)) {
-        finish(id, may_have_run{may_have_run_reason::answer_not_kept}, {},
-               out);
+        finish(id, may_have_run{may_have_run_reason::answer_not_kept}, {}, out);
     } else {
         finish(id, outcome, retry_after, out);
     }
@@ -412,10 +413,8 @@
     return out;
 }
 
-coordinator::actions
-coordinator::on_claims_conflict(std::uint64_t batch,
-                                std::span<const claim> existing,
-                                time_point now) {
+coordinator::actions coordinator::on_claims_conflict(
+    std::uint64_t batch, std::span<const claim> existing, time_point now) {
     observe(now);
     actions out;
     settle_claims(claims_.on_conflict(batch, existing), now, out);
@@ -431,17 +430,17 @@
     return out;
 }
 
-coordinator::actions
-coordinator::on_claim_read(const std::string& key,
-                           const std::optional<claim>& row, time_point now) {
+coordinator::actions coordinator::on_claim_read(const std::string& key,
+                                                const std::optional<claim>& row,
+                                                time_point now) {
     observe(now);
     actions out;
     settle_claims(claims_.on_read(key, row), now, out);
     return out;
 }
 
-coordinator::actions
-coordinator::on_claim_read_failed(const std::string& key, time_point now) {
+coordinator::actions coordinator::on_claim_read_failed(const std::string& key,
+                                                       time_point now) {
     observe(now);
     claims_.on_read_failed(key);
     return {};
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -76,9 +76,10 @@
     }
 }
 
-std::vector<std::string>
-coordinator::on_table(std::span<const raw_row> rows, std::uint64_t version,
-                      time_point asked_at, time_point now) {
+std::vector<std::string> coordinator::on_table(std::span<const raw_row> rows,
+                                               std::uint64_t version,
+                                               time_point asked_at,
+                                               time_point now) {
     observe(now);
     if (version < table_.version()) {
         return {};
@@ -173,8 +174,7 @@
             return out;
         }
         out.emplace_back(send_message{
-            from, table_rows{request->number, table_.version(),
-                             table_age(now),
+            from, table_rows{request->number, table_.version(), table_age(now),
                              table_.rows_after(request->have_version)}});
     } else {
         on_table_rows(std::get<table_rows>(message), now);
@@ -182,8 +182,8 @@
     return out;
 }
 
-void coordinator::ask_for_table(const std::string& peer_address,
-                                time_point now, actions& out) {
+void coordinator::ask_for_table(const std::string& peer_address, time_point now,
+                                actions& out) {
     if (requests_.size() >= max_table_requests) {
         requests_.pop_front();
     }
@@ -195,9 +195,10 @@
 // The answer counts as of the moment of the request: it may have waited in a
 // buffer while this process was paused.
 void coordinator::on_table_rows(const table_rows& rows, time_point now) {
-    const auto request = std::find_if(
-        requests_.begin(), requests_.end(),
-        [&](const auto& item) { return item.first == rows.request_number; });
+    const auto request =
+        std::find_if(requests_.begin(), requests_.end(), [&](const auto& item) {
+            return item.first == rows.request_number;
+        });
     if (request == requests_.end()) {
         return;
     }
@@ -304,9 +305,9 @@
     for (const auto id : overdue) {
         ledger_.forget_waiter(operations_.at(id).operation, id);
         operations_.erase(id);
-        out.emplace_back(finish_call{
-            id, may_have_run{may_have_run_reason::still_running},
-            still_running_retry_after});
+        out.emplace_back(
+            finish_call{id, may_have_run{may_have_run_reason::still_running},
+                        still_running_retry_after});
     }
     std::vector<call_id> forgotten;
     for (const auto& [id, entry] : forwarded_) {
--- a/src/decisions/core.cpp
+++ b/src/decisions/core.cpp
@@ -56,7 +56,9 @@
     return key.service + "/" + key.backend_server;
 }
 
-std::uint64_t hash(const server_key& key) { return hash(to_string(key)); }
+std::uint64_t hash(const server_key& key) {
+    return hash(to_string(key));
+}
 
 std::uint64_t hash(std::string_view text) {
     return XXH3_64bits(text.data(), text.size());
--- a/src/decisions/dispatcher.cpp
+++ b/src/decisions/dispatcher.cpp
@@ -66,10 +66,10 @@
         } else {
             updated.emplace_back(row, now);
         }
-        updated.back().probes().set_rate(
-            probe_rate(entry.row.probe_cost, entry.row.probe_share,
-                       entry.row.max_instances),
-            now);
+        updated.back().probes().set_rate(probe_rate(entry.row.probe_cost,
+                                                    entry.row.probe_share,
+                                                    entry.row.max_instances),
+                                         now);
     }
     entry.servers = std::move(updated);
 }
@@ -162,9 +162,10 @@
            state.estimated_long(now) < long_slots;
 }
 
-std::vector<candidate>
-dispatcher::candidates_for(service_entry& entry, const call_entry& waiting,
-                           bool ignore_tried, time_point now) {
+std::vector<candidate> dispatcher::candidates_for(service_entry& entry,
+                                                  const call_entry& waiting,
+                                                  bool ignore_tried,
+                                                  time_point now) {
     std::vector<candidate> list;
     for (std::size_t i = 0; i < entry.servers.size(); ++i) {
         const auto& state = entry.servers[i];
@@ -183,8 +184,7 @@
         item.load = state.estimated_load(now);
         item.latency_ms = state.latency_ms();
         item.penalty = state.penalty(now);
-        item.own_failure_domain =
-            row.failure_domain == options_.failure_domain;
+        item.own_failure_domain = row.failure_domain == options_.failure_domain;
         list.push_back(item);
     }
     return list;
@@ -229,10 +229,10 @@
     ++waiting.attempts;
     const auto share =
         std::max<std::size_t>(1, row.connections / share_.instances);
-    out.emplace_back(start_attempt{
-        waiting.info.id, id, row.key, row.address, waiting.info.deadline - now,
-        static_cast<unsigned>(share), waiting.info.idempotent,
-        waiting.info.record_answer});
+    out.emplace_back(
+        start_attempt{waiting.info.id, id, row.key, row.address,
+                      waiting.info.deadline - now, static_cast<unsigned>(share),
+                      waiting.info.idempotent, waiting.info.record_answer});
     schedule_check(waiting, next_check(entry, waiting, now));
     return true;
 }
@@ -388,8 +388,7 @@
 void dispatcher::retry_or_finish(call_entry& owner, const verdict& outcome,
                                  time_point now, actions& out) {
     auto& entry = services_.at(owner.info.service);
-    const bool harmless =
-        certainly_not_run(outcome) || owner.info.idempotent;
+    const bool harmless = certainly_not_run(outcome) || owner.info.idempotent;
     const bool time_left = owner.info.deadline > now;
     if (harmless && time_left && owner.attempts < options_.max_attempts &&
         entry.retries.try_take()) {
@@ -451,10 +450,10 @@
     }
     const double usual_ms =
         entry.latency_ms + hedge_deviations * entry.deviation_ms;
-    const auto delay = std::max(
-        min_hedge_delay,
-        std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(usual_ms)));
+    const auto delay =
+        std::max(min_hedge_delay,
+                 std::chrono::duration_cast<duration>(
+                     std::chrono::duration<double, std::milli>(usual_ms)));
     return std::min(owner.info.deadline, now + delay);
 }
 
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -97,8 +97,8 @@
     return addresses;
 }
 
-std::vector<std::string>
-membership::heartbeat_targets(random_engine& engine, time_point now) {
+std::vector<std::string> membership::heartbeat_targets(random_engine& engine,
+                                                       time_point now) {
     expire(now);
     std::vector<std::string> targets;
     for (const auto& [id, item] : records_) {
--- a/src/decisions/operation_ledger.cpp
+++ b/src/decisions/operation_ledger.cpp
@@ -93,8 +93,7 @@
     return waiters;
 }
 
-std::vector<call_id>
-operation_ledger::abandon(const operation_id& operation) {
+std::vector<call_id> operation_ledger::abandon(const operation_id& operation) {
     const auto found = entries_.find(operation.text);
     if (found == entries_.end()) {
         return {};
@@ -144,8 +143,7 @@
             continue;
         }
         auto& known = found->second;
-        const bool closed =
-            !known.running && certainly_not_run(known.outcome);
+        const bool closed = !known.running && certainly_not_run(known.outcome);
         if (known.running) {
             due.key() = now + look_again;
             expiry_.insert(std::move(due));
--- a/src/decisions/row_parser.cpp
+++ b/src/decisions/row_parser.cpp
@@ -82,7 +82,8 @@
     const auto space = text.find(' ');
     request_rule rule;
     rule.method = text.substr(0, space);
-    rule.path_prefix = space == std::string::npos ? "/" : text.substr(space + 1);
+    rule.path_prefix =
+        space == std::string::npos ? "/" : text.substr(space + 1);
     boost::algorithm::trim(rule.path_prefix);
     const bool good_method =
         rule.method == "*" ||
@@ -243,8 +244,8 @@
                                  default_probe_cost_ms);
     parsed.probe_share =
         parse_number(row, "probe_share", 0, 1, default_probe_share);
-    parsed.max_instances = parse_count(row, "max_instances", 1, max_count,
-                                       default_max_instances);
+    parsed.max_instances =
+        parse_count(row, "max_instances", 1, max_count, default_max_instances);
     return parsed;
 }
 
--- a/src/decisions/server_state.cpp
+++ b/src/decisions/server_state.cpp
@@ -116,7 +116,9 @@
     leaving_at_ = leaving_at_ ? std::max(*leaving_at_, when) : when;
 }
 
-void server_state::clear_leaving() { leaving_at_.reset(); }
+void server_state::clear_leaving() {
+    leaving_at_.reset();
+}
 
 bool server_state::is_leaving(time_point now) const {
     return row_.leaving || leaving_age(now).has_value();
@@ -135,8 +137,8 @@
     const double by_peers =
         peers_.in_flight * decay(now - peers_at_, peers_half_life);
     // The fresher source decides: reports outweigh peers while young.
-    return by_report + by_peers * (1 - decay(now - reported_at_,
-                                             report_half_life));
+    return by_report +
+           by_peers * (1 - decay(now - reported_at_, report_half_life));
 }
 
 double server_state::estimated_load(time_point now) const {
--- a/src/entry/admin_api.cpp
+++ b/src/entry/admin_api.cpp
@@ -41,8 +41,7 @@
             {"age_ms", to_ms(value.age)}};
 }
 
-json describe(const candidate& value,
-              std::span<const server_row> servers) {
+json describe(const candidate& value, std::span<const server_row> servers) {
     const auto name = value.index < servers.size()
                           ? servers[value.index].key.backend_server
                           : std::string();
@@ -95,12 +94,12 @@
     } else if (target.starts_with(explain)) {
         answer_explain(incoming, target.substr(explain.size()));
     } else {
-        reply_json(incoming, status_not_found,
-                   {{"title", "no such page"},
-                    {"pages",
-                     {"/metrics", "/live", "/ready", "/admin/status",
-                      "/admin/peers", "/admin/servers", "/admin/traces",
-                      "/admin/explain/SERVICE"}}});
+        reply_json(
+            incoming, status_not_found,
+            {{"title", "no such page"},
+             {"pages",
+              {"/metrics", "/live", "/ready", "/admin/status", "/admin/peers",
+               "/admin/servers", "/admin/traces", "/admin/explain/SERVICE"}}});
     }
 }
 
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -50,8 +50,7 @@
     if (std::holds_alternative<attempt_completed>(result)) {
         return "completed";
     }
-    return std::holds_alternative<attempt_refused>(result) ? "refused"
-                                                           : "lost";
+    return std::holds_alternative<attempt_refused>(result) ? "refused" : "lost";
 }
 
 // A backend server's statement that it did not start the work.
@@ -140,9 +139,9 @@
     const auto count = read_ticket_count(incoming.target());
     if (incoming.method() != EVHTTP_REQ_POST || count == 0 ||
         count > max_tickets) {
-        const auto answer = make_bad_request(
-            "tickets are had by POST with count from 1 to " +
-            std::to_string(max_tickets));
+        const auto answer =
+            make_bad_request("tickets are had by POST with count from 1 to " +
+                             std::to_string(max_tickets));
         incoming.reply(answer.status, answer.headers, answer.body);
         return;
     }
@@ -216,9 +215,8 @@
                                         const start_attempt& order,
                                         const trace_context& trace) const {
     auto request = call.request.outgoing;
-    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(
-                        order.time_left)
-                        .count();
+    const auto ms =
+        std::chrono::ceil<std::chrono::milliseconds>(order.time_left).count();
     request.headers.push_back(
         {std::string(header::timeout_ms), std::to_string(ms)});
     request.headers.push_back(
@@ -238,13 +236,13 @@
     attempt.started = loop_.now();
     attempt.recording = order.record_answer;
     const auto request = make_request(found->second, order, attempt.trace);
-    const exchange_limits limits{
-        order.connections,
-        order.idempotent ? duration::max() : options_.proven_alive};
+    const exchange_limits limits{order.connections,
+                                 order.idempotent ? duration::max()
+                                                  : options_.proven_alive};
     auto& kept = attempts_[order.attempt];
     kept = std::move(attempt);
-    kept.exchange = pool_.start(order.address, request, limits,
-                                make_events(order.attempt));
+    kept.exchange =
+        pool_.start(order.address, request, limits, make_events(order.attempt));
 }
 
 exchange_events call_gateway::make_events(attempt_id id) {
@@ -252,8 +250,12 @@
     events.head = [this, id](const http_answer_head& head) {
         on_head(id, head);
     };
-    events.body = [this, id](std::string_view piece) { on_body(id, piece); };
-    events.end = [this, id] { on_end(id); };
+    events.body = [this, id](std::string_view piece) {
+        on_body(id, piece);
+    };
+    events.end = [this, id] {
+        on_end(id);
+    };
     events.failed = [this, id](const exchange_failure& failure) {
         on_failed(id, failure);
     };
@@ -286,10 +288,9 @@
     const auto* service =
         decisions_.table().find_service(call.request.arriving.service);
     const bool is_long =
-        service != nullptr &&
-        service->length_of(call.request.arriving.method,
-                           call.request.arriving.path) ==
-            work_length::long_work;
+        service != nullptr && service->length_of(call.request.arriving.method,
+                                                 call.request.arriving.path) ==
+                                  work_length::long_work;
     const bool large =
         head.content_length && *head.content_length > spool_limit;
     if (is_long || large) {
@@ -467,8 +468,8 @@
         call.incoming->finish();
         return;
     }
-    const auto attempt = call.delivering ? attempts_.find(*call.delivering)
-                                         : attempts_.end();
+    const auto attempt =
+        call.delivering ? attempts_.find(*call.delivering) : attempts_.end();
     if (attempt == attempts_.end()) {
         call.incoming->abort();
         return;
@@ -588,7 +589,9 @@
             pass_on(active->second, *active->second.forward, piece);
         }
     };
-    events.end = [this, id] { on_forward_end(id, forward_completed{}); };
+    events.end = [this, id] {
+        on_forward_end(id, forward_completed{});
+    };
     events.failed = [this, id](const exchange_failure& failure) {
         if (failure.bytes_sent) {
             on_forward_end(id, forward_lost{});
@@ -597,8 +600,8 @@
         }
     };
     const exchange_limits limits{connections_to_peer, options_.proven_alive};
-    call.forward = pool_.start(order.caller_address, request, limits,
-                               std::move(events));
+    call.forward =
+        pool_.start(order.caller_address, request, limits, std::move(events));
 }
 
 void call_gateway::on_forward_head(call_id id, const http_answer_head& head) {
--- a/src/entry/call_gateway.hpp
+++ b/src/entry/call_gateway.hpp
@@ -89,8 +89,7 @@
     void note_report(const active_attempt& attempt);
     void report_head(attempt_id id);
     void end_attempt(attempt_id id, const attempt_result& result);
-    void pass_on(active_call& call, exchange_id source,
-                 std::string_view piece);
+    void pass_on(active_call& call, exchange_id source, std::string_view piece);
     header_list answer_headers(const active_call& call,
                                const http_answer_head& head) const;
     void start_passing(active_call& call, const http_answer_head& head);
--- a/src/entry/call_request.cpp
+++ b/src/entry/call_request.cpp
@@ -80,8 +80,7 @@
     return hash(content);
 }
 
-void copy_passed_headers(const incoming_request& incoming,
-                         call_request& call) {
+void copy_passed_headers(const incoming_request& incoming, call_request& call) {
     for (const auto& field : call.headers) {
         if (!is_hop_by_hop(field.name) && !is_own_field(field.name)) {
             call.outgoing.headers.push_back(field);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -158,11 +158,10 @@
             auto actions = decisions_->on_message(from, message, loop_.now());
             run_actions(actions);
         });
-    peers_.dropped.connect(
-        [](const std::string& from, const std::string& why) {
-            log_event(event_number::peer_message_dropped,
-                      {{"from", from}, {"reason", why}});
-        });
+    peers_.dropped.connect([](const std::string& from, const std::string& why) {
+        log_event(event_number::peer_message_dropped,
+                  {{"from", from}, {"reason", why}});
+    });
 }
 
 std::string entry_process::ports_line() const {
--- a/src/entry/load_report.cpp
+++ b/src/entry/load_report.cpp
@@ -9,7 +9,9 @@
 constexpr std::string_view json_form = "JSON ";
 constexpr double max_load = 1e6;
 
-bool is_plausible(double value) { return value >= 0 && value <= max_load; }
+bool is_plausible(double value) {
+    return value >= 0 && value <= max_load;
+}
 
 } // namespace
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -38,9 +38,8 @@
         return exit_bad_settings;
     } catch (const std::exception& problem) {
         lacewingbeam::configure_log("error");
-        lacewingbeam::log_event(
-            lacewingbeam::event_number::start_failed,
-            {{"reason", problem.what()}});
+        lacewingbeam::log_event(lacewingbeam::event_number::start_failed,
+                                {{"reason", problem.what()}});
         return exit_failed;
     }
 }
--- a/src/entry/platform_sync.cpp
+++ b/src/entry/platform_sync.cpp
@@ -34,11 +34,11 @@
     for (const auto& field : entry.answer.headers) {
         headers.push_back({{"name", field.name}, {"value", field.value}});
     }
-    const json answer{{"status", entry.answer.status},
-                      {"headers", std::move(headers)},
-                      {"body", json::binary_t(std::vector<std::uint8_t>(
-                                   entry.answer.body.begin(),
-                                   entry.answer.body.end()))}};
+    const json answer{
+        {"status", entry.answer.status},
+        {"headers", std::move(headers)},
+        {"body", json::binary_t(std::vector<std::uint8_t>(
+                     entry.answer.body.begin(), entry.answer.body.end()))}};
     raw_row row;
     row.key = entry.operation.text;
     row.cells = {{std::string(answer_cell),
@@ -68,8 +68,7 @@
 platform_sync::platform_sync(event_loop& loop, platform_client& platform,
                              coordinator& decisions, metrics& counts,
                              duration poll_interval)
-    : loop_(loop), platform_(platform), decisions_(decisions),
-      counts_(counts) {
+    : loop_(loop), platform_(platform), decisions_(decisions), counts_(counts) {
     timer_ = loop.every(poll_interval, [this] { poll(); });
     loop.defer([this] { poll(); });
 }
@@ -102,8 +101,8 @@
                 return;
             }
             const auto before = decisions_.table().version();
-            const auto problems = decisions_.on_table(
-                page->rows, page->version, asked_at, loop_.now());
+            const auto problems = decisions_.on_table(page->rows, page->version,
+                                                      asked_at, loop_.now());
             for (const auto& problem : problems) {
                 log_event(event_number::table_row_rejected,
                           {{"problem", problem}});
@@ -204,7 +203,8 @@
 void platform_sync::run(const read_journal& order) {
     const auto id = order.call;
     platform_.read_row(
-        journal_table, order.operation.text, [this, id](const read_result& got) {
+        journal_table, order.operation.text,
+        [this, id](const read_result& got) {
             counts_.count_platform_request("journal_read", got.good);
             std::optional<recorded_answer> answer;
             if (got.good && got.row) {
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -1,5 +1,5 @@
-#include "command_line.hpp"
 #include "commands.hpp"
+#include "command_line.hpp"
 
 #include "adapters/settings_file.hpp"
 
@@ -25,7 +25,9 @@
 
 } // namespace
 
-std::span<const tool_command> tool_commands() { return commands; }
+std::span<const tool_command> tool_commands() {
+    return commands;
+}
 
 int run_check_settings(const std::vector<std::string>& arguments) {
     command_line line("Checks a settings file of lacewingbeam-entry.");
--- a/src/tool/csv.cpp
+++ b/src/tool/csv.cpp
@@ -48,8 +48,7 @@
     throw csv_error("line " + std::to_string(line) + ": " + problem);
 }
 
-std::vector<std::string> split_line(const std::string& text,
-                                    std::size_t line) {
+std::vector<std::string> split_line(const std::string& text, std::size_t line) {
     const auto quotes = std::count(text.begin(), text.end(), '"');
     try {
         const line_fields fields(text, line_parser());
--- a/src/tool/instance_commands.cpp
+++ b/src/tool/instance_commands.cpp
@@ -43,9 +43,9 @@
 }
 
 struct drain_state {
-    std::size_t unaware = 0;  // instances that may still send new work
+    std::size_t unaware = 0; // instances that may still send new work
     unsigned in_flight = 0;
-    std::size_t silent = 0;   // instances that did not answer
+    std::size_t silent = 0; // instances that did not answer
 };
 
 void add_instance(const json& status, const json& servers,
@@ -145,18 +145,16 @@
 
 int run_drain(const std::vector<std::string>& arguments) {
     command_line line("Takes a backend server out of service: sets its "
-                        "state to leaving.");
-    TCLAP::ValueArg<std::string> platform("p", "platform",
-                                          "the platform's address", true, "",
-                                          "IP:port", line);
+                      "state to leaving.");
+    TCLAP::ValueArg<std::string> platform(
+        "p", "platform", "the platform's address", true, "", "IP:port", line);
     TCLAP::ValueArg<std::string> admin(
         "a", "admin", "admin address of any instance; needed with --wait",
         false, "", "IP:port", line);
-    TCLAP::SwitchArg wait("w", "wait",
-                          "end once no instance has work in flight there",
-                          line);
-    TCLAP::ValueArg<unsigned> limit("t", "timeout", "longest wait", false,
-                                    3600, "SECONDS", line);
+    TCLAP::SwitchArg wait(
+        "w", "wait", "end once no instance has work in flight there", line);
+    TCLAP::ValueArg<unsigned> limit("t", "timeout", "longest wait", false, 3600,
+                                    "SECONDS", line);
     TCLAP::ValueArg<std::string> by("b", "by", "who edits", false, "operator",
                                     "NAME", line);
     TCLAP::UnlabeledValueArg<std::string> key(
@@ -178,10 +176,10 @@
     if (!wait.getValue()) {
         return exit_good;
     }
-    return wait_for_drain(session, admin.getValue(),
-                          {key.getValue().substr(0, slash),
-                           key.getValue().substr(slash + 1)},
-                          version, std::chrono::seconds(limit.getValue()));
+    return wait_for_drain(
+        session, admin.getValue(),
+        {key.getValue().substr(0, slash), key.getValue().substr(slash + 1)},
+        version, std::chrono::seconds(limit.getValue()));
 }
 
 int run_status(const std::vector<std::string>& arguments) {
@@ -205,9 +203,9 @@
 
 int run_explain(const std::vector<std::string>& arguments) {
     command_line line("Shows an instance's latest choices for a service "
-                        "and what they were made from.");
-    TCLAP::ValueArg<std::string> admin("a", "admin", "admin address", true,
-                                       "", "IP:port", line);
+                      "and what they were made from.");
+    TCLAP::ValueArg<std::string> admin("a", "admin", "admin address", true, "",
+                                       "IP:port", line);
     TCLAP::UnlabeledValueArg<std::string> service("service", "the service",
                                                   true, "", "SERVICE", line);
     line.read(arguments);
@@ -215,8 +213,9 @@
     const auto body = get_json(session, admin.getValue(),
                                "/admin/explain/" + service.getValue());
     for (const auto& choice : body.at("choices")) {
-        std::cout << choice.at("age_ms") << " ms ago: "
-                  << choice.at("chosen").get<std::string>() << "\n";
+        std::cout << choice.at("age_ms")
+                  << " ms ago: " << choice.at("chosen").get<std::string>()
+                  << "\n";
         for (const auto& item : choice.at("candidates")) {
             std::cout << "    " << item.at("backend_server").get<std::string>()
                       << "  cost=" << item.at("expected_cost")
--- a/src/tool/session.cpp
+++ b/src/tool/session.cpp
@@ -31,7 +31,9 @@
     return *platform_;
 }
 
-void tool_session::wait() { loop_.run(); }
+void tool_session::wait() {
+    loop_.run();
+}
 
 std::vector<raw_row> tool_session::read_table() {
     std::optional<table_page> page;
@@ -45,9 +47,8 @@
         throw unreachable_error("the platform did not answer; nothing changed");
     }
     std::erase_if(page->rows, [](const raw_row& row) { return row.deleted; });
-    std::sort(
-        page->rows.begin(), page->rows.end(),
-        [](const raw_row& a, const raw_row& b) { return a.key < b.key; });
+    std::sort(page->rows.begin(), page->rows.end(),
+              [](const raw_row& a, const raw_row& b) { return a.key < b.key; });
     return std::move(page->rows);
 }
 
@@ -94,13 +95,19 @@
     http_result result;
     int status = 0;
     exchange_events events;
-    events.head = [&](const http_answer_head& head) { status = head.status; };
-    events.body = [&](std::string_view piece) { result.body += piece; };
+    events.head = [&](const http_answer_head& head) {
+        status = head.status;
+    };
+    events.body = [&](std::string_view piece) {
+        result.body += piece;
+    };
     events.end = [&] {
         result.status = status;
         loop_.stop();
     };
-    events.failed = [&](const exchange_failure&) { loop_.stop(); };
+    events.failed = [&](const exchange_failure&) {
+        loop_.stop();
+    };
     http_request request;
     request.target = target;
     const auto id = pool_.start(address, request, {}, std::move(events));
--- a/src/tool/table_commands.cpp
+++ b/src/tool/table_commands.cpp
@@ -17,9 +17,9 @@
 class table_arguments : public command_line {
 public:
     explicit table_arguments(const std::string& help)
-        : command_line(help), platform_("p", "platform",
-                                        "the platform's address", true, "",
-                                        "IP:port", *this) {}
+        : command_line(help),
+          platform_("p", "platform", "the platform's address", true, "",
+                    "IP:port", *this) {}
 
     const std::string& platform() { return platform_.getValue(); }
 
@@ -142,16 +142,15 @@
 int run_table_set(const std::vector<std::string>& arguments) {
     table_arguments given("Sets cells of one row; a new key makes a new row.");
     TCLAP::ValueArg<std::uint64_t> expected(
-        "e", "expect", "version that the row must have; 0: must be new",
-        false, 0, "VERSION", given);
-    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
-                                    user_name(), "NAME", given);
+        "e", "expect", "version that the row must have; 0: must be new", false,
+        0, "VERSION", given);
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false, user_name(),
+                                    "NAME", given);
     TCLAP::UnlabeledValueArg<std::string> key(
-        "key", "service or service/backend_server", true, "", "KEY",
-        given);
+        "key", "service or service/backend_server", true, "", "KEY", given);
     TCLAP::UnlabeledMultiArg<std::string> cells(
-        "cells", "cells to set; an empty value clears one", true,
-        "CELL=VALUE", given);
+        "cells", "cells to set; an empty value clears one", true, "CELL=VALUE",
+        given);
     given.read(arguments);
     tool_session session(given.platform());
     row_change change;
@@ -168,11 +167,10 @@
 
 int run_table_remove(const std::vector<std::string>& arguments) {
     table_arguments given("Removes one row.");
-    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
-                                    user_name(), "NAME", given);
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false, user_name(),
+                                    "NAME", given);
     TCLAP::UnlabeledValueArg<std::string> key(
-        "key", "service or service/backend_server", true, "", "KEY",
-        given);
+        "key", "service or service/backend_server", true, "", "KEY", given);
     given.read(arguments);
     tool_session session(given.platform());
     row_change change;
@@ -199,8 +197,8 @@
     table_arguments given(
         "Takes over the rows of a CSV file that differ from the table, all "
         "or none. Rows that are not in the file stay.");
-    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false,
-                                    user_name(), "NAME", given);
+    TCLAP::ValueArg<std::string> by("b", "by", "who edits", false, user_name(),
+                                    "NAME", given);
     TCLAP::SwitchArg dry_run("n", "dry-run", "only show what would change",
                              given);
     TCLAP::UnlabeledValueArg<std::string> path("file", "CSV file", true, "",
--- a/src/tool/table_edit.cpp
+++ b/src/tool/table_edit.cpp
@@ -115,10 +115,9 @@
     for (int i = 0; i < max_tries; ++i) {
         const auto result = session.write(writes);
         if (const auto* good = std::get_if<write_committed>(&result)) {
-            return edit_accepted{changes.size() == 1
-                                     ? version_of(session,
-                                                  changes[0].wanted.key)
-                                     : good->version};
+            return edit_accepted{
+                changes.size() == 1 ? version_of(session, changes[0].wanted.key)
+                                    : good->version};
         }
         // A conflict after a lost answer may be with this very edit.
         const auto mark =
--- a/test/integration/call_test.cpp
+++ b/test/integration/call_test.cpp
@@ -17,9 +17,13 @@
     running->add_instance();
 }
 
-void tear_down() { running.reset(); }
+void tear_down() {
+    running.reset();
+}
 
-const std::string& callers() { return running->instance(0).callers; }
+const std::string& callers() {
+    return running->instance(0).callers;
+}
 
 } // namespace
 
@@ -47,16 +51,16 @@
 }
 
 Test(call, bad_timeout_header_is_refused) {
-    const auto answer = ask({callers(), "GET", "/status/x",
-                             {{"lacewingbeam-timeout-ms", "soon"}}});
+    const auto answer = ask(
+        {callers(), "GET", "/status/x", {{"lacewingbeam-timeout-ms", "soon"}}});
     cr_assert_eq(answer.status, 400);
     cr_assert_eq(answer.verdict(), "not_run; reason=bad_request");
     cr_assert_neq(answer.body.find("from 1 to"), std::string::npos);
 }
 
 Test(call, forged_forward_header_is_refused) {
-    const auto answer = ask({callers(), "GET", "/status/x",
-                             {{"lacewingbeam-forwarded", "me"}}});
+    const auto answer = ask(
+        {callers(), "GET", "/status/x", {{"lacewingbeam-forwarded", "me"}}});
     cr_assert_eq(answer.status, 400);
 }
 
@@ -78,9 +82,8 @@
 }
 
 Test(call, deadline_passed_while_running_may_have_run) {
-    const auto answer =
-        ask(work(callers(), "/status/x?ms=3000", "slow",
-                 {{"lacewingbeam-timeout-ms", "200"}}));
+    const auto answer = ask(work(callers(), "/status/x?ms=3000", "slow",
+                                 {{"lacewingbeam-timeout-ms", "200"}}));
     cr_assert_eq(answer.status, 504);
     cr_assert_eq(answer.verdict(), "may_have_run; reason=answer_timeout");
 }
@@ -100,7 +103,9 @@
 
 Test(call, traceparent_is_passed_on_and_exported) {
     const std::string trace(32, 'a');
-    ask({callers(), "GET", "/status/x",
+    ask({callers(),
+         "GET",
+         "/status/x",
          {{"traceparent", "00-" + trace + "-00f067aa0ba902b7-01"}}});
     const auto lines =
         ask({running->instance(0).admin, "GET", "/admin/traces"}).body;
@@ -111,8 +116,7 @@
 
 Test(call, metrics_count_it_by_service_and_verdict) {
     ask({callers(), "GET", "/status/x"});
-    const auto text =
-        ask({running->instance(0).admin, "GET", "/metrics"}).body;
+    const auto text = ask({running->instance(0).admin, "GET", "/metrics"}).body;
     cr_assert_neq(text.find("lacewingbeam_calls_total{reason=\"\","
                             "service=\"status\",verdict=\"completed\"} 1"),
                   std::string::npos);
@@ -122,8 +126,8 @@
     http_question impatient{callers(), "GET", "/status/x?ms=1500"};
     impatient.limit = std::chrono::milliseconds(200);
     cr_assert_eq(ask(impatient).status, 0);
-    cr_assert(fleet::eventually(
-        [] { return running->status(0).at("calls") == 0; }));
+    cr_assert(
+        fleet::eventually([] { return running->status(0).at("calls") == 0; }));
     const auto metrics =
         ask({running->instance(0).admin, "GET", "/metrics"}).body;
     cr_assert_neq(metrics.find("result=\"cancelled\""), std::string::npos);
--- a/test/integration/fault_test.cpp
+++ b/test/integration/fault_test.cpp
@@ -1,7 +1,7 @@
 #include "fleet.hpp"
 
-#include <csignal>
 #include <criterion/criterion.h>
+#include <csignal>
 #include <thread>
 
 // Faults between real processes. The run logs of the backend servers decide.
@@ -13,13 +13,15 @@
 
 void set_up() {
     running = std::make_unique<fleet>();
-    running->add_service("orders", {{"deadline_ms", "1500"},
-                                    {"long_work", "GET /export"}});
+    running->add_service(
+        "orders", {{"deadline_ms", "1500"}, {"long_work", "GET /export"}});
     running->add_server("orders", "a");
     running->add_server("orders", "b");
 }
 
-void tear_down() { running.reset(); }
+void tear_down() {
+    running.reset();
+}
 
 const std::string& callers(std::size_t i) {
     return running->instance(i).callers;
@@ -91,9 +93,9 @@
     running->instance(0).child->signal(SIGCONT);
     cr_assert(fleet::eventually(
         [] { return running->status(0).value("ready", false); }));
-    const auto after = ask(work(callers(1), "/orders/new", "op",
-                                {{"lacewingbeam-ticket", ticket},
-                                 {"lacewingbeam-attempt", "2"}}));
+    const auto after = ask(
+        work(callers(1), "/orders/new", "op",
+             {{"lacewingbeam-ticket", ticket}, {"lacewingbeam-attempt", "2"}}));
     cr_assert_eq(after.verdict(), "completed");
     cr_assert_eq(running->count_runs("op"), 1);
 }
@@ -114,8 +116,8 @@
 Test(fault, claim_answer_lost_after_write_runs_once) {
     running->add_instances(2);
     running->control(running->platform(), {{"lose_answers", 1}});
-    const auto answer = ask(work(callers(0), "/orders/new", "op",
-                                 {{"idempotency-key", "k"}}));
+    const auto answer =
+        ask(work(callers(0), "/orders/new", "op", {{"idempotency-key", "k"}}));
     cr_assert_eq(answer.verdict(), "completed");
     ask(work(callers(1), "/orders/new", "op", {{"idempotency-key", "k"}}));
     cr_assert_eq(running->count_runs("op"), 1);
@@ -131,8 +133,8 @@
                           {{"lacewingbeam-ticket", ticket}}))
                      .verdict(),
                  "completed");
-    const auto keyed = ask(work(callers(0), "/orders/new", "op2",
-                                {{"idempotency-key", "k"}}));
+    const auto keyed =
+        ask(work(callers(0), "/orders/new", "op2", {{"idempotency-key", "k"}}));
     cr_assert_eq(keyed.verdict(), "may_have_run; reason=store_unavailable");
     cr_assert_eq(running->count_runs("op2"), 0);
     cr_assert_neq(running->log_of(0).find("LB1103"), std::string::npos);
@@ -147,8 +149,8 @@
 
 Test(fault, instance_started_without_platform_or_peers_refuses_then_serves) {
     running->control(running->platform(), {{"down", true}});
-    auto started = std::async(std::launch::async,
-                              [] { running->add_instance(); });
+    auto started =
+        std::async(std::launch::async, [] { running->add_instance(); });
     cr_assert(fleet::eventually([] { return running->instance_count() == 1; }));
     const auto early = ask({callers(0), "GET", "/orders/x"});
     cr_assert_eq(early.verdict(), "not_run; reason=table_unconfirmed");
@@ -245,7 +247,8 @@
     running->control(running->server("a"), {{"fail_fast", true}});
     int good = 0;
     for (int i = 0; i < 60; ++i) {
-        good += ask({callers(0), "GET", "/orders/x?ms=5"}).status == 200 ? 1 : 0;
+        good +=
+            ask({callers(0), "GET", "/orders/x?ms=5"}).status == 200 ? 1 : 0;
     }
     cr_assert_geq(good, 45, "only %d of 60 reads went well", good);
 }
@@ -269,8 +272,7 @@
     const auto& peer = running->instance(0).peer;
     send_raw(peer, std::string("\0\0\0\5hello", 9),
              std::chrono::milliseconds(300));
-    cr_assert(fleet::eventually([] {
-        return running->log_of(0).find("LB1204") != std::string::npos;
-    }));
+    cr_assert(fleet::eventually(
+        [] { return running->log_of(0).find("LB1204") != std::string::npos; }));
     cr_assert_eq(ask({callers(0), "GET", "/orders/x"}).status, 200);
 }
--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -25,9 +25,13 @@
 
 } // namespace
 
-std::string tool_path() { return LACEWINGBEAM_TOOL; }
+std::string tool_path() {
+    return LACEWINGBEAM_TOOL;
+}
 
-std::string entry_path() { return LACEWINGBEAM_ENTRY; }
+std::string entry_path() {
+    return LACEWINGBEAM_ENTRY;
+}
 
 fleet::fleet() {
     files_.write("key", "a key that only the tests have");
@@ -45,7 +49,10 @@
     }
     row.update(cells);
     const json write{{"table", "services"}, {"key", key}, {"cells", row}};
-    const auto answer = ask({platform_, "POST", "/v1/transactions", {},
+    const auto answer = ask({platform_,
+                             "POST",
+                             "/v1/transactions",
+                             {},
                              json{{"writes", {write}}}.dump()});
     table_version_ = answer.body_json().at("version");
 }
@@ -123,7 +130,9 @@
     made->peer = value_of(line, "peer");
     instances_.push_back(std::move(made));
     auto& added = *instances_.back();
-    eventually([&] { return ask({added.admin, "GET", "/ready"}).status == 200; });
+    eventually([&] {
+        return ask({added.admin, "GET", "/ready"}).status == 200;
+    });
     return added;
 }
 
--- a/test/integration/http_call.cpp
+++ b/test/integration/http_call.cpp
@@ -92,9 +92,8 @@
                         question.target.c_str());
     event_base_loopexit(state.loop, &limit);
     event_base_dispatch(state.loop);
-    state.answer.time =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now() - start);
+    state.answer.time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - start);
     evhttp_connection_free(connection);
     event_base_free(state.loop);
     return state.answer;
--- a/test/integration/http_call.hpp
+++ b/test/integration/http_call.hpp
@@ -13,7 +13,7 @@
 using json = nlohmann::json;
 
 struct http_answer {
-    int status = 0; // 0: no whole answer
+    int status = 0;                             // 0: no whole answer
     std::map<std::string, std::string> headers; // names in lower case
     std::string body;
     std::chrono::milliseconds time{};
--- a/test/integration/operator_test.cpp
+++ b/test/integration/operator_test.cpp
@@ -13,13 +13,15 @@
 
 void set_up() {
     running = std::make_unique<fleet>();
-    running->add_service("sheets", {{"deadline_ms", "3000"},
-                                    {"long_work", "GET /export"}});
+    running->add_service(
+        "sheets", {{"deadline_ms", "3000"}, {"long_work", "GET /export"}});
     running->add_server("sheets", "a");
     running->add_server("sheets", "b");
 }
 
-void tear_down() { running.reset(); }
+void tear_down() {
+    running.reset();
+}
 
 struct tool_result {
     int code = 0;
@@ -48,8 +50,8 @@
 
 Test(operator_tool, table_set_takes_hold_on_every_instance) {
     running->add_instances(2);
-    const auto edit = tool({"table", "set", "-p", running->platform(),
-                            "sheets/a", "weight=3"});
+    const auto edit = tool(
+        {"table", "set", "-p", running->platform(), "sheets/a", "weight=3"});
     cr_assert_eq(edit.code, good, "%s", edit.output.c_str());
     cr_assert(fleet::eventually([] {
         return running->status(0).at("table_version") ==
@@ -65,8 +67,8 @@
     cr_assert_eq(edit.code, bad_input);
     cr_assert(contains(edit.output, "weight"));
     cr_assert(contains(edit.output, "1000"));
-    const auto unknown = tool({"table", "set", "-p", running->platform(),
-                               "sheets/a", "colour=red"});
+    const auto unknown = tool(
+        {"table", "set", "-p", running->platform(), "sheets/a", "colour=red"});
     cr_assert_eq(unknown.code, bad_input);
     cr_assert(contains(unknown.output, "known are"));
 }
@@ -75,11 +77,11 @@
     const auto shown =
         tool({"table", "show", "-p", running->platform(), "sheets"});
     cr_assert(contains(shown.output, "sheets/a"));
-    tool({"table", "set", "-p", running->platform(), "--by", "mina",
-          "sheets/a", "weight=2"});
-    const auto late = tool({"table", "set", "-p", running->platform(), "--by",
-                            "peteris", "--expect", "2", "sheets/a",
-                            "weight=5"});
+    tool({"table", "set", "-p", running->platform(), "--by", "mina", "sheets/a",
+          "weight=2"});
+    const auto late =
+        tool({"table", "set", "-p", running->platform(), "--by", "peteris",
+              "--expect", "2", "sheets/a", "weight=5"});
     cr_assert_eq(late.code, conflict);
     cr_assert(contains(late.output, "mina"));
     const auto now =
@@ -102,8 +104,8 @@
 
 Test(operator_tool, lost_answer_is_settled_by_edit_id) {
     running->control(running->platform(), {{"lose_answers", 1}});
-    const auto edit = tool({"table", "set", "-p", running->platform(),
-                            "sheets/a", "weight=4"});
+    const auto edit = tool(
+        {"table", "set", "-p", running->platform(), "sheets/a", "weight=4"});
     cr_assert_eq(edit.code, good, "%s", edit.output.c_str());
     const auto shown =
         tool({"table", "show", "-p", running->platform(), "sheets"});
@@ -112,14 +114,13 @@
 
 Test(operator_tool, lost_request_is_written_again) {
     running->control(running->platform(), {{"lose_requests", 1}});
-    const auto edit = tool({"table", "set", "-p", running->platform(),
-                            "sheets/a", "weight=4"});
+    const auto edit = tool(
+        {"table", "set", "-p", running->platform(), "sheets/a", "weight=4"});
     cr_assert_eq(edit.code, good, "%s", edit.output.c_str());
 }
 
 Test(operator_tool, export_and_import_keep_the_table) {
-    const auto exported =
-        tool({"table", "export", "-p", running->platform()});
+    const auto exported = tool({"table", "export", "-p", running->platform()});
     cr_assert_eq(exported.code, good);
     const auto path = running->files().write("table.csv", exported.output);
     const auto same =
@@ -130,8 +131,8 @@
 
 Test(operator_tool, import_of_stale_export_is_a_conflict) {
     auto text = tool({"table", "export", "-p", running->platform()}).output;
-    tool({"table", "set", "-p", running->platform(), "--by", "mina",
-          "sheets/a", "weight=9"});
+    tool({"table", "set", "-p", running->platform(), "--by", "mina", "sheets/a",
+          "weight=9"});
     const auto path = running->files().write("table.csv", text);
     const auto stale =
         tool({"table", "import", "-p", running->platform(), path});
@@ -174,8 +175,7 @@
 
 Test(operator_tool, status_shows_all_instances) {
     running->add_instances(2);
-    const auto status =
-        tool({"status", "--admin", running->instance(0).admin});
+    const auto status = tool({"status", "--admin", running->instance(0).admin});
     cr_assert_eq(status.code, good);
     cr_assert(contains(status.output, running->instance(1).admin));
 }
@@ -183,8 +183,8 @@
 Test(operator_tool, explain_shows_choices_with_their_inputs) {
     running->add_instances(1);
     ask({running->instance(0).callers, "GET", "/sheets/x"});
-    const auto explain = tool(
-        {"explain", "--admin", running->instance(0).admin, "sheets"});
+    const auto explain =
+        tool({"explain", "--admin", running->instance(0).admin, "sheets"});
     cr_assert_eq(explain.code, good);
     cr_assert(contains(explain.output, "cost="));
 }
--- a/test/integration/process.cpp
+++ b/test/integration/process.cpp
@@ -90,7 +90,9 @@
     }
 }
 
-void process::signal(int number) const { kill(pid_, number); }
+void process::signal(int number) const {
+    kill(pid_, number);
+}
 
 bool process::reap(bool block) {
     int status = 0;
@@ -102,7 +104,9 @@
     return true;
 }
 
-bool process::is_running() { return pid_ > 0 && !reap(false); }
+bool process::is_running() {
+    return pid_ > 0 && !reap(false);
+}
 
 bool process::wait_for_end(std::chrono::milliseconds limit) {
     for (std::chrono::milliseconds waited{0}; waited < limit;
--- a/test/integration/process.hpp
+++ b/test/integration/process.hpp
@@ -48,8 +48,11 @@
     temporary_directory(const temporary_directory&) = delete;
     temporary_directory& operator=(const temporary_directory&) = delete;
 
-    std::string file(const std::string& name) const { return path_ + "/" + name; }
-    std::string write(const std::string& name, const std::string& content) const;
+    std::string file(const std::string& name) const {
+        return path_ + "/" + name;
+    }
+    std::string write(const std::string& name,
+                      const std::string& content) const;
 
 private:
     std::string path_;
--- a/test/random/schedule.cpp
+++ b/test/random/schedule.cpp
@@ -134,8 +134,7 @@
             return;
         }
         const auto size = static_cast<unsigned>(operations_.size());
-        auto& one = operations_[draw(size > 30 ? size - 30 : 0,
-                                           size - 1)];
+        auto& one = operations_[draw(size > 30 ? size - 30 : 0, size - 1)];
         if (bears_name(one)) {
             one.options.attempt += chance(30) ? 1 : 0;
             world_.send(any_instance(), one.options);
@@ -271,7 +270,8 @@
             return;
         }
         const auto server = any_server();
-        if (chance(25) && left_ < servers / 2 && left_names_.insert(server).second) {
+        if (chance(25) && left_ < servers / 2 &&
+            left_names_.insert(server).second) {
             ++left_;
             world_.platform().read_lag = {};
             world_.edit("svc/" + server, {{"state", "leaving"}});
--- a/test/scenarios/scenario.cpp
+++ b/test/scenarios/scenario.cpp
@@ -160,8 +160,8 @@
             const std::string& problem) {
     ++state.outcome.expectations;
     if (!good) {
-        state.outcome.failures.push_back(
-            state.file + ":" + std::to_string(line) + ": " + problem);
+        state.outcome.failures.push_back(state.file + ":" +
+                                         std::to_string(line) + ": " + problem);
     }
 }
 
@@ -264,7 +264,8 @@
 
 void expect_ready(script_state& state, const std::string& name, bool wanted,
                   int line) {
-    const bool seen = state.world.instance(name).status(state.world.now()).ready;
+    const bool seen =
+        state.world.instance(name).status(state.world.now()).ready;
     expect(state, line, seen == wanted,
            name + (seen ? " is ready" : " is not ready"));
 }
@@ -279,7 +280,9 @@
 const std::map<std::string, verb>& verbs() {
     static const std::map<std::string, verb> all{
         {"instance",
-         [](auto& s, auto& w, int) { s.world.add_instance(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.add_instance(w.next());
+         }},
         {"service",
          [](auto& s, auto& w, int) {
              const auto key = w.next();
@@ -306,15 +309,28 @@
              s.tickets[name] = s.world.mint(w.next());
          }},
         {"send", run_send},
-        {"hang-up", [](auto& s, auto& w, int) { s.world.hang_up(w.next()); }},
+        {"hang-up",
+         [](auto& s, auto& w, int) {
+             s.world.hang_up(w.next());
+         }},
         {"kill",
-         [](auto& s, auto& w, int) { s.world.kill_instance(w.next()); }},
+         [](auto& s, auto& w, int) {
+             const auto name = w.next();
+             s.world.instance(name); // must be there
+             s.world.kill_instance(name);
+         }},
         {"stop",
-         [](auto& s, auto& w, int) { s.world.stop_instance(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.stop_instance(w.next());
+         }},
         {"pause",
-         [](auto& s, auto& w, int) { s.world.pause_instance(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.pause_instance(w.next());
+         }},
         {"wake",
-         [](auto& s, auto& w, int) { s.world.wake_instance(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.wake_instance(w.next());
+         }},
         {"cut",
          [](auto& s, auto& w, int) {
              const auto a = w.next();
@@ -326,13 +342,19 @@
              s.world.heal(a, w.next());
          }},
         {"cut-platform",
-         [](auto& s, auto& w, int) { s.world.cut_platform(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.cut_platform(w.next());
+         }},
         {"heal-platform",
-         [](auto& s, auto& w, int) { s.world.heal_platform(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.heal_platform(w.next());
+         }},
         {"platform", run_platform},
         {"server-state", run_server_state},
         {"list-leaving",
-         [](auto& s, auto& w, int) { s.world.list_leaving(w.next()); }},
+         [](auto& s, auto& w, int) {
+             s.world.list_leaving(w.next());
+         }},
         {"expect", expect_answer},
         {"expect-runs", expect_runs},
         {"expect-current", expect_current},
@@ -383,8 +405,8 @@
         state.world.run_for(start + one.at - state.world.now());
         run_step(state, one);
     }
-    for (const auto& problem : state.world.record().violations(
-             probes_per_second, leave_bound)) {
+    for (const auto& problem :
+         state.world.record().violations(probes_per_second, leave_bound)) {
         state.outcome.failures.push_back(name + ": " + problem);
     }
     return state.outcome;
--- a/test/standins/backend_server.cpp
+++ b/test/standins/backend_server.cpp
@@ -22,17 +22,17 @@
 
 struct behaviour {
     unsigned slots = 3;
-    unsigned queue = 6;         // requests waiting before shedding
-    double slowdown = 1;        // factor on every work time
+    unsigned queue = 6;  // requests waiting before shedding
+    double slowdown = 1; // factor on every work time
     bool draining = false;
-    bool fail_fast = false;     // answers 500 at once, looking idle
-    bool lie_idle = false;      // reports no load
-    int report_lag_ms = 0;      // reports are that old
-    int cold_ms = 0;            // slow by cold_factor for this long
+    bool fail_fast = false; // answers 500 at once, looking idle
+    bool lie_idle = false;  // reports no load
+    int report_lag_ms = 0;  // reports are that old
+    int cold_ms = 0;        // slow by cold_factor for this long
     double cold_factor = 5;
-    int cut_answers = 0;        // answers to cut in the middle
-    int drop_after_run = 0;     // runs whose answer never comes
-    int probe_cost_ms = 0;      // slot time one probe takes
+    int cut_answers = 0;    // answers to cut in the middle
+    int drop_after_run = 0; // runs whose answer never comes
+    int probe_cost_ms = 0;  // slot time one probe takes
 };
 
 struct load_sample {
@@ -126,8 +126,8 @@
 
 void backend_server::note_load() {
     constexpr std::size_t kept = 2000;
-    samples_.push_back({steady::now(), running_,
-                        static_cast<unsigned>(waiting_.size())});
+    samples_.push_back(
+        {steady::now(), running_, static_cast<unsigned>(waiting_.size())});
     if (samples_.size() > kept) {
         samples_.pop_front();
     }
@@ -162,7 +162,9 @@
 void backend_server::serve_load(const request_ptr& request) {
     ++probes_;
     add_reports(request);
-    const auto answer = [this, request] { request->reply_json(ok, load()); };
+    const auto answer = [this, request] {
+        request->reply_json(ok, load());
+    };
     if (how_.probe_cost_ms > 0) {
         ++running_; // a probe takes slot time like any other work
         note_load();
@@ -215,14 +217,13 @@
     const auto item = std::make_shared<work>();
     item->request = request;
     item->time = milliseconds(number(request->query("ms"), 2));
-    item->bytes =
-        static_cast<std::size_t>(number(request->query("bytes"), 16));
+    item->bytes = static_cast<std::size_t>(number(request->query("bytes"), 16));
     item->operation = request->header("x-operation");
     constexpr int no_limit_ms = 3600'000;
     item->deadline =
         steady::now() +
-        milliseconds(number(request->header("lacewingbeam-timeout-ms"),
-                            no_limit_ms));
+        milliseconds(
+            number(request->header("lacewingbeam-timeout-ms"), no_limit_ms));
     request->on_gone = [this, item] {
         item->cancelled = true;
         std::erase(waiting_, item);
@@ -265,8 +266,7 @@
                                   std::to_string(item->bytes));
         item->request->start(ok);
         stream(item, 0,
-               milliseconds(time.count() /
-                            static_cast<std::int64_t>(pieces)));
+               milliseconds(time.count() / static_cast<std::int64_t>(pieces)));
         return;
     }
     standin::after(time, [this, item] { complete(item); });
@@ -336,12 +336,12 @@
 int main(int argc, char** argv) {
     try {
         TCLAP::CmdLine command("Stand-in for a backend server", ' ', "1");
-        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any",
-                                            false, 0, "PORT", command);
+        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any", false,
+                                            0, "PORT", command);
         TCLAP::ValueArg<unsigned> slots("", "slots", "requests at a time",
                                         false, 3, "COUNT", command);
-        TCLAP::ValueArg<unsigned> queue("", "queue", "requests waiting",
-                                        false, 6, "COUNT", command);
+        TCLAP::ValueArg<unsigned> queue("", "queue", "requests waiting", false,
+                                        6, "COUNT", command);
         TCLAP::ValueArg<int> cold("", "cold-ms", "cold start time", false, 0,
                                   "MS", command);
         TCLAP::ValueArg<int> probe("", "probe-cost-ms", "slot time of a probe",
@@ -353,9 +353,10 @@
         how.cold_ms = cold.getValue();
         how.probe_cost_ms = probe.getValue();
         backend_server server(how);
-        const auto bound = standin::serve(
-            port.getValue(),
-            [&](const request_ptr& request) { server.handle(request); });
+        const auto bound =
+            standin::serve(port.getValue(), [&](const request_ptr& request) {
+                server.handle(request);
+            });
         standin::run(bound);
     } catch (const std::exception& problem) {
         std::cerr << problem.what() << std::endl;
--- a/test/standins/fault_proxy.cpp
+++ b/test/standins/fault_proxy.cpp
@@ -20,11 +20,11 @@
 constexpr int bad_request = 400;
 
 struct faults {
-    int delay_ms = 0;          // added to each piece, both ways
-    bool refuse = false;       // new connections are closed at once
-    bool blackhole = false;    // new connections are taken and never served
-    int cut_answers = 0;       // connections to close within an answer
-    int cut_after_bytes = 1;   // how far into it
+    int delay_ms = 0;        // added to each piece, both ways
+    bool refuse = false;     // new connections are closed at once
+    bool blackhole = false;  // new connections are taken and never served
+    int cut_answers = 0;     // connections to close within an answer
+    int cut_after_bytes = 1; // how far into it
 };
 
 struct link {
@@ -43,7 +43,9 @@
 
 // Callbacks get a pointer to a shared pointer that lives as long as the
 // process; links are few.
-link_ptr& keep(const link_ptr& item) { return *new link_ptr(item); }
+link_ptr& keep(const link_ptr& item) {
+    return *new link_ptr(item);
+}
 
 void close_link(const link_ptr& item) {
     if (item->closed) {
@@ -132,9 +134,8 @@
     bufferevent_setcb(item->server, read_server, nullptr, on_event, &kept);
     bufferevent_enable(item->client, EV_READ | EV_WRITE);
     bufferevent_enable(item->server, EV_READ | EV_WRITE);
-    bufferevent_socket_connect(item->server,
-                               reinterpret_cast<sockaddr*>(&target),
-                               sizeof target);
+    bufferevent_socket_connect(
+        item->server, reinterpret_cast<sockaddr*>(&target), sizeof target);
 }
 
 void control(const request_ptr& request) {
@@ -188,11 +189,11 @@
     try {
         TCLAP::CmdLine command("Proxy that injects faults on 127.0.0.1", ' ',
                                "1");
-        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any",
-                                            false, 0, "PORT", command);
+        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any", false,
+                                            0, "PORT", command);
         TCLAP::ValueArg<std::uint16_t> to("t", "target-port",
-                                          "port of the process behind", true,
-                                          0, "PORT", command);
+                                          "port of the process behind", true, 0,
+                                          "PORT", command);
         command.parse(argc, argv);
         target.sin_family = AF_INET;
         target.sin_port = htons(to.getValue());
--- a/test/standins/json_server.cpp
+++ b/test/standins/json_server.cpp
@@ -30,7 +30,9 @@
     request_handler(std::make_shared<request>(handle));
 }
 
-void stop(evutil_socket_t, short, void*) { event_base_loopbreak(loop()); }
+void stop(evutil_socket_t, short, void*) {
+    event_base_loopbreak(loop());
+}
 
 void watch_signal(int number) {
     auto* watch = evsignal_new(loop(), number, stop, nullptr);
@@ -63,7 +65,9 @@
     event_add(watch_, nullptr);
 }
 
-request::~request() { drop(); }
+request::~request() {
+    drop();
+}
 
 std::string request::method() const {
     switch (evhttp_request_get_command(handle_)) {
@@ -113,7 +117,9 @@
     return content;
 }
 
-json request::body_json() const { return json::parse(body(), nullptr, false); }
+json request::body_json() const {
+    return json::parse(body(), nullptr, false);
+}
 
 void request::add_header(const std::string& name, const std::string& value) {
     if (handle_ != nullptr) {
@@ -220,8 +226,7 @@
                                            EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                            EVHTTP_REQ_HEAD);
     evhttp_set_gencb(server, take_request, nullptr);
-    auto* socket =
-        evhttp_bind_socket_with_handle(server, "127.0.0.1", port);
+    auto* socket = evhttp_bind_socket_with_handle(server, "127.0.0.1", port);
     if (socket == nullptr) {
         throw std::runtime_error("cannot listen on port " +
                                  std::to_string(port));
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -34,12 +34,12 @@
 };
 
 struct fault_settings {
-    bool down = false;        // every request is dropped
-    int delay_ms = 0;         // before every answer
-    int lose_answers = 0;     // writes that take effect but get no answer
-    int lose_requests = 0;    // writes that get no answer and no effect
-    int stale_reads_ms = 0;   // reads show the state of that long ago
-    int list_lag_ms = 0;      // the instance list shows that state
+    bool down = false;      // every request is dropped
+    int delay_ms = 0;       // before every answer
+    int lose_answers = 0;   // writes that take effect but get no answer
+    int lose_requests = 0;  // writes that get no answer and no effect
+    int stale_reads_ms = 0; // reads show the state of that long ago
+    int list_lag_ms = 0;    // the instance list shows that state
 };
 
 struct list_state {
@@ -169,8 +169,7 @@
 }
 
 const platform::tables& platform::readable() const {
-    const auto wanted =
-        steady::now() - milliseconds(faults_.stale_reads_ms);
+    const auto wanted = steady::now() - milliseconds(faults_.stale_reads_ms);
     if (faults_.stale_reads_ms == 0 || history_.empty()) {
         return tables_;
     }
@@ -228,8 +227,8 @@
             present = found->second.rows.at(key);
         }
         const std::uint64_t expected = item.at("expected_version");
-        const auto seen = expected == 0 && present.deleted ? 0
-                                                           : present.version;
+        const auto seen =
+            expected == 0 && present.deleted ? 0 : present.version;
         if (seen != expected) {
             conflicts.push_back(
                 {{"table", name}, {"row", describe(key, present)}});
@@ -316,13 +315,14 @@
 int main(int argc, char** argv) {
     try {
         TCLAP::CmdLine command("Stand-in for the platform", ' ', "1");
-        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any",
-                                            false, 0, "PORT", command);
+        TCLAP::ValueArg<std::uint16_t> port("p", "port", "port; 0: any", false,
+                                            0, "PORT", command);
         command.parse(argc, argv);
         platform state;
-        const auto bound = standin::serve(
-            port.getValue(),
-            [&](const request_ptr& request) { state.handle(request); });
+        const auto bound =
+            standin::serve(port.getValue(), [&](const request_ptr& request) {
+                state.handle(request);
+            });
         standin::run(bound);
     } catch (const std::exception& problem) {
         std::cerr << problem.what() << std::endl;
--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -19,7 +19,9 @@
 constexpr duration loss_notice = milliseconds(50);
 constexpr int status_ok = 200;
 
-std::string claim_operation(const operation_id& id) { return id.text; }
+std::string claim_operation(const operation_id& id) {
+    return id.text;
+}
 
 } // namespace
 
@@ -98,7 +100,9 @@
     schedule_ticks(name, life);
 }
 
-void world::kill_instance(const std::string& name) { nodes_.erase(name); }
+void world::kill_instance(const std::string& name) {
+    nodes_.erase(name);
+}
 
 void world::stop_instance(const std::string& name) {
     const auto life = nodes_.at(name)->life;
@@ -209,10 +213,10 @@
 
 void world::answer_later(const node& to, duration delay,
                          std::function<void(node&)> function) {
-    at(now_ + delay, [this, name = to.name, life = to.life,
-                      function = std::move(function)] {
-        on_node(name, life, function);
-    });
+    at(now_ + delay,
+       [this, name = to.name, life = to.life, function = std::move(function)] {
+           on_node(name, life, function);
+       });
 }
 
 void world::schedule_ticks(const std::string& name, std::uint64_t life) {
@@ -289,8 +293,8 @@
                        : !what.key.empty()  ? " with a key"
                                             : "";
     const auto number = ++sends_;
-    history_.sent({now_, number, what.attempt, what.operation, once, what.method == "POST",
-                   instance_name + bears});
+    history_.sent({now_, number, what.attempt, what.operation, once,
+                   what.method == "POST", instance_name + bears});
     const auto found = nodes_.find(instance_name);
     if (found == nodes_.end()) {
         return;
@@ -320,10 +324,11 @@
     for (const auto& [name, self] : nodes_) {
         for (const auto& [id, call] : self->calls) {
             if (call.operation == operation && call.from.empty()) {
-                answer_later(*self, duration::zero(), [this, id](node& at_node) {
-                    carry_out(at_node,
-                              at_node.decisions->on_caller_gone(id, now_));
-                });
+                answer_later(
+                    *self, duration::zero(), [this, id](node& at_node) {
+                        carry_out(at_node,
+                                  at_node.decisions->on_caller_gone(id, now_));
+                    });
             }
         }
     }
@@ -451,13 +456,15 @@
                 } else if (later.cut_next > 0) {
                     --later.cut_next;
                     on_node(name, life, [this, id](node& self) {
-                        carry_out(self, self.decisions->on_head(id, false, now_));
+                        carry_out(self,
+                                  self.decisions->on_head(id, false, now_));
                     });
                     result =
                         attempt_lost{may_have_run_reason::answer_truncated};
                 }
                 std::optional<recorded_answer> answer;
-                if (record && std::holds_alternative<attempt_completed>(result)) {
+                if (record &&
+                    std::holds_alternative<attempt_completed>(result)) {
                     answer = recorded_answer{status_ok, {}, operation};
                 }
                 at(now_ + delay, [this, name, life, id, result, answer] {
@@ -502,20 +509,20 @@
     if (is_cut(at_node.name, call.from)) {
         return;
     }
-    at(now_ + network_delay, [this, call, outcome, answer,
-                              decided_at = now_] {
-        on_node(call.from, call.from_life, [this, call, outcome, answer,
-                                            decided_at](node& origin) {
-            const auto waiting = origin.calls.find(call.from_call);
-            if (waiting == origin.calls.end()) {
-                return;
-            }
-            waiting->second.answered = true;
-            history_.answered({now_, call.operation, outcome, answer,
-                               call.send, decided_at});
-            carry_out(origin, origin.decisions->on_forward_ended(
+    at(now_ + network_delay, [this, call, outcome, answer, decided_at = now_] {
+        on_node(call.from, call.from_life,
+                [this, call, outcome, answer, decided_at](node& origin) {
+                    const auto waiting = origin.calls.find(call.from_call);
+                    if (waiting == origin.calls.end()) {
+                        return;
+                    }
+                    waiting->second.answered = true;
+                    history_.answered({now_, call.operation, outcome, answer,
+                                       call.send, decided_at});
+                    carry_out(origin,
+                              origin.decisions->on_forward_ended(
                                   call.from_call, forward_completed{}, now_));
-        });
+                });
     });
 }
 
@@ -537,15 +544,13 @@
     };
     auto* target = find_node(order.caller_address);
     if (target == nullptr) {
-        answer_later(from, network_delay, [end](node& self) {
-            end(self, forward_unreachable{});
-        });
+        answer_later(from, network_delay,
+                     [end](node& self) { end(self, forward_unreachable{}); });
         return;
     }
     if (is_cut(from.name, target->name)) {
-        answer_later(from, connect_timeout, [end](node& self) {
-            end(self, forward_unreachable{});
-        });
+        answer_later(from, connect_timeout,
+                     [end](node& self) { end(self, forward_unreachable{}); });
         return;
     }
     if (target->decisions->own().id != order.owner) {
@@ -675,8 +680,8 @@
             self.decisions->on_probe_failed(order.server, now_);
         } else {
             const double running = busy_[order.server.backend_server];
-            self.decisions->on_report(order.server, {running, 0},
-                                      how.draining, now_);
+            self.decisions->on_report(order.server, {running, 0}, how.draining,
+                                      now_);
         }
     });
 }
@@ -687,11 +692,11 @@
         return;
     }
     const auto sender = from.decisions->own().peer_address;
-    answer_later(*target, network_delay,
-                 [this, sender, message = order.message](node& self) {
-                     carry_out(self, self.decisions->on_message(
-                                         sender, message, now_));
-                 });
+    answer_later(
+        *target, network_delay,
+        [this, sender, message = order.message](node& self) {
+            carry_out(self, self.decisions->on_message(sender, message, now_));
+        });
 }
 
 } // namespace fake
--- a/test/support/fake_world.hpp
+++ b/test/support/fake_world.hpp
@@ -39,7 +39,7 @@
     bool down = false;
     bool writes_down = false;
     duration delay = std::chrono::milliseconds(3);
-    unsigned lose_answers = 0; // writes that take effect without an answer
+    unsigned lose_answers = 0;  // writes that take effect without an answer
     unsigned lose_requests = 0; // writes without answer and effect
     unsigned late_writes = 0;   // writes that take effect after the timeout
     duration read_lag{};
@@ -114,8 +114,7 @@
     void on_node(const std::string& name, std::uint64_t life,
                  std::function<void(node&)> function);
     void carry_out(node& at_node, coordinator::actions actions);
-    void run_on_server(node& at_node,
-                       const lacewingbeam::start_attempt& order);
+    void run_on_server(node& at_node, const lacewingbeam::start_attempt& order);
     void end_attempt(const std::string& name, std::uint64_t life,
                      lacewingbeam::attempt_id attempt,
                      lacewingbeam::attempt_result result,
--- a/test/support/history.cpp
+++ b/test/support/history.cpp
@@ -51,21 +51,21 @@
     std::multimap<time_point, std::string> lines;
     for (const auto& send : sends_) {
         if (send.operation == operation) {
-            lines.emplace(send.at, "send " + std::to_string(send.number) + " to " +
-                                       send.to);
+            lines.emplace(send.at, "send " + std::to_string(send.number) +
+                                       " to " + send.to);
         }
     }
     for (const auto& run : runs_) {
         if (run.operation == operation) {
             lines.emplace(run.at, "ran on " + run.server + " for send " +
-                                     std::to_string(run.send));
+                                      std::to_string(run.send));
         }
     }
     for (const auto& answer : answers_) {
         if (answer.operation == operation) {
             lines.emplace(answer.at, "send " + std::to_string(answer.send) +
-                                          " answered " +
-                                          to_string(answer.outcome));
+                                         " answered " +
+                                         to_string(answer.outcome));
         }
     }
     std::string text;
@@ -127,10 +127,9 @@
         for (auto i = first; i != last; ++i) {
             const auto& run = *i->second;
             const bool before = run.at <= answer.decided_at;
-            const bool due =
-                run.send == answer.send ||
-                (asked.at_most_once &&
-                 sends.at(run.send)->attempt <= asked.attempt);
+            const bool due = run.send == answer.send ||
+                             (asked.at_most_once &&
+                              sends.at(run.send)->attempt <= asked.attempt);
             if (before || due) {
                 out.push_back("false not_run: " + answer.operation + " " +
                               to_string(answer.outcome) + at_text(answer.at) +
@@ -156,8 +155,7 @@
 // In no window more probes than the budget allows.
 void history::check_probes(double rate, std::vector<std::string>& out) const {
     constexpr duration window = std::chrono::seconds(60);
-    const double allowed =
-        rate * std::chrono::duration<double>(window).count();
+    const double allowed = rate * std::chrono::duration<double>(window).count();
     std::map<std::string, std::deque<time_point>> recent;
     for (const auto& probe : probes_) {
         auto& times = recent[probe.server];
--- a/test/support/history.hpp
+++ b/test/support/history.hpp
@@ -39,8 +39,8 @@
     std::string operation;
     lacewingbeam::verdict outcome;
     std::optional<std::string> content;
-    std::uint64_t send = 0;  // number of the send that is answered
-    time_point decided_at;   // when the deciding instance gave the answer
+    std::uint64_t send = 0; // number of the send that is answered
+    time_point decided_at;  // when the deciding instance gave the answer
 };
 
 struct probe_event {
--- /dev/null
+++ b/test/unit/adapter_test.cpp
@@ -0,0 +1,249 @@
+#include "adapters/event_log.hpp"
+#include "adapters/settings_file.hpp"
+#include "adapters/trace_recorder.hpp"
+#include "adapters/wire_codec.hpp"
+#include "entry/answers.hpp"
+#include "entry/forward_token.hpp"
+#include "entry/load_report.hpp"
+#include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/ticket.hpp"
+#include "tool/csv.hpp"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <criterion/criterion.h>
+#include <fstream>
+#include <sstream>
+
+// Codecs, settings, logs and small parsers, with fuzzed input.
+using namespace lacewingbeam;
+
+namespace {
+
+const std::string key = "sixteen bytes or more";
+constexpr int fuzz_rounds = 20000;
+
+const std::string good_settings =
+    "[instance]\nfailure_domain = a\n[platform]\naddress = 127.0.0.1:9\n";
+
+std::string problem_of(const std::string& text) {
+    try {
+        parse_settings(text, "file.ini");
+    } catch (const settings_error& problem) {
+        return problem.what();
+    }
+    return {};
+}
+
+peer_message make_message() {
+    heartbeat beat;
+    random_engine engine(3);
+    beat.sender.id = draw_incarnation(engine);
+    beat.sender.peer_address = "10.0.0.1:7000";
+    beat.sequence = 7;
+    beat.table_version = 9;
+    beat.loads.push_back({hash(server_key{"svc", "a"}), 2, 1});
+    beat.leaving.push_back({{"svc", "b"}, std::chrono::milliseconds(20)});
+    beat.members.push_back(beat.sender);
+    return beat;
+}
+
+// Changes, drops or adds bytes.
+std::string damage(std::string text, random_engine& engine) {
+    using pick = boost::random::uniform_int_distribution<std::size_t>;
+    const auto changes = pick(1, 8)(engine);
+    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+        const auto where = pick(0, text.size() - 1)(engine);
+        switch (pick(0, 2)(engine)) {
+        case 0:
+            text[where] = static_cast<char>(pick(0, 255)(engine));
+            break;
+        case 1:
+            text.erase(where, pick(1, 4)(engine));
+            break;
+        default:
+            text.insert(where, 1, static_cast<char>(pick(0, 255)(engine)));
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+Test(settings, defaults_come_from_the_schema) {
+    const auto values = parse_settings(good_settings, "file.ini");
+    cr_assert_eq(values.instance.caller_port, 8080);
+    cr_assert_eq(values.backend.policy, "load_aware");
+    cr_assert_eq(values.instance.failure_domain, "a");
+}
+
+Test(settings, problems_name_file_line_key_and_allowed) {
+    cr_assert_neq(problem_of(good_settings + "[limits]\nmax_calls = 0\n")
+                      .find("file.ini:6: [limits] max_calls = \"0\": allowed "
+                            "is a whole number from 1 to 1000000"),
+                  std::string::npos);
+    cr_assert_neq(problem_of(good_settings + "[peers]\nfan_out = 3s\n")
+                      .find("unit: count"),
+                  std::string::npos);
+    cr_assert_neq(
+        problem_of(good_settings + "[backend]\npolicy = best\n").find("one of"),
+        std::string::npos);
+    cr_assert_neq(problem_of(good_settings + "[else]\nx = 1\n")
+                      .find("unknown section [else]"),
+                  std::string::npos);
+    cr_assert_neq(problem_of("[instance]\n").find("is missing"),
+                  std::string::npos);
+    cr_assert_neq(
+        problem_of(good_settings + "address = 1.1.1.1:1\n").find("given twice"),
+        std::string::npos);
+    cr_assert_neq(
+        problem_of(good_settings + "[peers]\nseeds = " + std::string(500, '1'))
+            .find("too long"),
+        std::string::npos);
+}
+
+Test(settings, damaged_file_is_read_or_refused) {
+    random_engine engine(11);
+    for (int i = 0; i < fuzz_rounds / 10; ++i) {
+        problem_of(damage(good_settings, engine));
+    }
+}
+
+Test(wire, message_is_the_same_after_the_way) {
+    const auto back = decode_message(encode_message(make_message(), key), key);
+    const auto& beat = std::get<heartbeat>(back);
+    cr_assert_eq(beat.sequence, 7);
+    cr_assert_eq(beat.loads.at(0).in_flight, 2);
+    cr_assert_eq(to_string(beat.leaving.at(0).key), "svc/b");
+    cr_assert(beat.members.at(0).id == beat.sender.id);
+}
+
+Test(wire, damaged_message_is_never_taken) {
+    random_engine engine(12);
+    const auto good = encode_message(make_message(), key);
+    for (int i = 0; i < fuzz_rounds; ++i) {
+        const auto bad = damage(good, engine);
+        if (bad != good) {
+            cr_assert_throw(decode_message(bad, key), wire_error);
+        }
+    }
+}
+
+Test(wire, authentic_nonsense_is_refused_without_harm) {
+    random_engine engine(13);
+    const auto good = encode_message(make_message(), key);
+    constexpr auto code_size = sizeof(authentication_code);
+    for (int i = 0; i < fuzz_rounds; ++i) {
+        auto content = damage(good.substr(code_size), engine);
+        const auto code =
+            authenticate(key, "lacewingbeam message 1\n" + content);
+        content.insert(0, std::string(code.begin(), code.end()));
+        try {
+            decode_message(content, key);
+        } catch (const wire_error&) {
+        }
+    }
+}
+
+Test(wire, other_key_is_refused) {
+    const auto bytes = encode_message(make_message(), key);
+    cr_assert_throw(decode_message(bytes, "another key, also long"),
+                    wire_error);
+}
+
+Test(csv, table_is_the_same_after_the_way) {
+    const std::vector<raw_row> rows{
+        {"svc", 3, false, {{"non_idempotent", "POST /a; PUT /b, \"c\""}}},
+        {"svc/a", 4, false, {{"address", "127.0.0.1:1"}, {"weight", "2"}}}};
+    const auto back = read_csv(write_csv(rows));
+    cr_assert_eq(back.size(), 2);
+    cr_assert_eq(back[0].value_of("non_idempotent"),
+                 rows[0].value_of("non_idempotent"));
+    cr_assert_eq(back[1].version, 4);
+}
+
+Test(csv, damaged_file_is_read_or_refused_with_a_line) {
+    random_engine engine(14);
+    const auto good = write_csv(std::vector<raw_row>{
+        {"svc", 3, false, {{"deadline_ms", "100"}}},
+        {"svc/a", 4, false, {{"address", "127.0.0.1:1"}}}});
+    for (int i = 0; i < fuzz_rounds / 4; ++i) {
+        try {
+            read_csv(damage(good, engine));
+        } catch (const csv_error& problem) {
+            cr_assert(std::string(problem.what()).starts_with("line "));
+        }
+    }
+}
+
+Test(traceparent, good_one_is_read_and_bad_ones_are_not) {
+    const std::string good =
+        "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+    cr_assert_eq(to_traceparent(*parse_traceparent(good)), good);
+    random_engine engine(15);
+    for (int i = 0; i < fuzz_rounds; ++i) {
+        parse_traceparent(damage(good, engine));
+    }
+    cr_assert_not(parse_traceparent("").has_value());
+    cr_assert_not(
+        parse_traceparent("00-" + std::string(32, '0') + good.substr(35))
+            .has_value());
+}
+
+Test(load_report, json_form_is_read_and_nonsense_is_not) {
+    const std::string good =
+        R"(JSON {"named_metrics":{"in_flight":2,"queued":1}})";
+    const auto report = parse_load_header(good);
+    cr_assert_eq(report->in_flight, 2);
+    cr_assert_eq(report->queued, 1);
+    random_engine engine(16);
+    for (int i = 0; i < fuzz_rounds; ++i) {
+        const auto read = parse_load_header(damage(good, engine));
+        cr_assert(!read || (read->in_flight >= 0 && read->queued >= 0));
+    }
+}
+
+Test(forward_token, is_good_for_its_owner_and_target_only) {
+    random_engine engine(3);
+    const auto owner = draw_incarnation(engine);
+    const auto token = make_forward_token(owner, "/a", key);
+    cr_assert(read_forward_token(token, "/a", key) == owner);
+    cr_assert_not(read_forward_token(token, "/b", key).has_value());
+    for (int i = 0; i < fuzz_rounds; ++i) {
+        const auto bad = damage(token, engine);
+        if (!equal_ignoring_case(bad, token)) {
+            cr_assert_not(read_forward_token(bad, "/a", key).has_value());
+        }
+    }
+}
+
+Test(endpoint, text_forms_are_read_or_refused) {
+    cr_assert_eq(parse_endpoint("127.0.0.1:80")->port, 80);
+    cr_assert_eq(to_string(*parse_endpoint("[::1]:80")), "[::1]:80");
+    for (const auto* bad :
+         {"", "host:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "::1:80",
+          "127.0.0.1:65536", "127.0.0.1:8x", "[127.0.0.1]:80"}) {
+        cr_assert_not(parse_endpoint(bad).has_value(), "%s", bad);
+    }
+}
+
+Test(answers, error_says_verdict_reason_and_when_to_come_back) {
+    const auto answer = make_error(not_run{not_run_reason::queue_full},
+                                   std::chrono::milliseconds(1200));
+    cr_assert_eq(answer.status, 503);
+    cr_assert_eq(*find_header(answer.headers, "Retry-After"), "2");
+    cr_assert_neq(answer.body.find("\"verdict\":\"not_run\""),
+                  std::string::npos);
+}
+
+Test(event_catalogue, docs_list_every_event) {
+    std::ifstream file(LACEWINGBEAM_DOCS "/EVENTS.md");
+    std::ostringstream content;
+    content << file.rdbuf();
+    for (const auto& event : event_catalogue()) {
+        const auto row = "| LB" +
+                         std::to_string(static_cast<int>(event.number)) +
+                         " | " + std::string(event.name) + " |";
+        cr_assert_neq(content.str().find(row), std::string::npos, "%s",
+                      row.c_str());
+    }
+}
--- /dev/null
+++ b/test/unit/decision_test.cpp
@@ -0,0 +1,304 @@
+#include "lacewingbeam/budget.hpp"
+#include "lacewingbeam/choice.hpp"
+#include "lacewingbeam/deadline_queue.hpp"
+#include "lacewingbeam/dispatcher.hpp"
+#include "lacewingbeam/server_state.hpp"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+
+// Budgets, choice, queue, server state and dispatcher.
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point start{seconds(100)};
+
+server_row make_row(const std::string& name, unsigned slots = 3) {
+    server_row row;
+    row.key = {"svc", name};
+    row.address = "127.0.0.1:80";
+    row.slots = slots;
+    return row;
+}
+
+table_view make_table(unsigned servers, unsigned slots = 3) {
+    table_view table;
+    std::vector<raw_row> rows{{"svc", 1, false, {{"deadline_ms", "100"}}}};
+    for (unsigned i = 0; i < servers; ++i) {
+        rows.push_back(
+            {"svc/s" + std::to_string(i),
+             i + 2,
+             false,
+             {{"address", "127.0.0.1:80"}, {"slots", std::to_string(slots)}}});
+    }
+    table.apply(rows, servers + 1);
+    return table;
+}
+
+call make_call(std::uint64_t id, bool idempotent = false) {
+    call made;
+    made.id = call_id{id};
+    made.service = "svc";
+    made.idempotent = idempotent;
+    made.deadline = start + milliseconds(100);
+    return made;
+}
+
+template <class Action>
+std::vector<Action> pick(const dispatcher::actions& actions) {
+    std::vector<Action> found;
+    for (const auto& item : actions) {
+        if (const auto* one = std::get_if<Action>(&item)) {
+            found.push_back(*one);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+Test(token_bucket, fresh_one_is_empty_then_fills_to_burst) {
+    token_bucket bucket(10, 1, start);
+    cr_assert_not(bucket.try_take(start));
+    cr_assert(bucket.try_take(start + milliseconds(100)));
+    cr_assert_not(bucket.try_take(start + milliseconds(150)));
+    cr_assert(bucket.try_take(start + seconds(60)));
+    cr_assert_not(bucket.try_take(start + seconds(60)));
+}
+
+Test(probe_rate, all_instances_together_stay_within_share_in_any_window) {
+    constexpr unsigned instances = 18;
+    const double rate = probe_rate(milliseconds(6), 0.01, instances);
+    const double window = 60;
+    const double most = instances * (rate * window + 1);
+    cr_assert_leq(most * 0.006, 0.01 * window + 1e-9);
+    cr_assert_gt(rate, 0);
+}
+
+Test(probe_rate, budget_too_small_for_all_instances_is_no_probe) {
+    cr_assert_eq(probe_rate(seconds(10), 0.001, 100), 0);
+}
+
+Test(attempt_budget, storm_of_retries_is_bounded_by_calls) {
+    attempt_budget budget(10, 5);
+    unsigned granted = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.on_call();
+        granted += budget.try_take() ? 1 : 0;
+    }
+    cr_assert_leq(granted, 105);
+    cr_assert_geq(granted, 100);
+}
+
+Test(choice, weights_are_kept_by_random_rule) {
+    std::vector<candidate> candidates(2);
+    candidates[0] = {0, 1, 3, 0, 0, 1, 1, false};
+    candidates[1] = {1, 3, 3, 0, 0, 1, 1, false};
+    choice_policy policy = random_choice{};
+    random_engine engine(7);
+    std::map<std::size_t, int> counts;
+    for (int i = 0; i < 10000; ++i) {
+        ++counts[*choose(policy, candidates, engine)];
+    }
+    cr_assert_gt(counts[1], 7000);
+    cr_assert_lt(counts[1], 8000);
+}
+
+Test(choice, load_aware_avoids_full_slow_and_failing) {
+    std::vector<candidate> candidates(4);
+    candidates[0] = {0, 1, 3, 0, 3, 2, 1, false};
+    candidates[1] = {1, 1, 3, 0, 0, 20, 1, false};
+    candidates[2] = {2, 1, 3, 0, 0, 2, 9, false};
+    candidates[3] = {3, 1, 3, 0, 0, 2, 1, false};
+    choice_policy policy = load_aware{};
+    random_engine engine(7);
+    for (int i = 0; i < 100; ++i) {
+        cr_assert_eq(*choose(policy, candidates, engine), 3);
+    }
+}
+
+Test(choice, every_policy_without_candidates_is_nothing) {
+    random_engine engine(7);
+    for (const auto* name : {"random", "round_robin", "least_in_flight",
+                             "power_of_two", "load_aware"}) {
+        auto policy = parse_policy(name);
+        cr_assert_not(choose(policy, {}, engine).has_value());
+    }
+    cr_assert_throw(parse_policy("best"), error);
+}
+
+Test(deadline_queue, earliest_deadline_comes_first_and_limit_holds) {
+    deadline_queue queue(2);
+    cr_assert(queue.push(call_id{1}, start + seconds(2)));
+    cr_assert(queue.push(call_id{2}, start + seconds(1)));
+    cr_assert_not(queue.push(call_id{3}, start));
+    cr_assert_eq(queue.in_order().front(), call_id{2});
+    cr_assert_eq(queue.expire(start + seconds(1)).size(), 1);
+    cr_assert_eq(queue.size(), 1);
+}
+
+Test(server_state, old_report_loses_its_weight) {
+    server_state state(make_row("a"), start);
+    state.on_report({2, 1}, start);
+    cr_assert_gt(state.estimated_load(start), 2.9);
+    cr_assert_lt(state.estimated_load(start + milliseconds(500)), 0.1);
+}
+
+Test(server_state, leaving_signal_lasts_until_not_repeated) {
+    server_state state(make_row("a"), start);
+    state.mark_leaving(start);
+    cr_assert(state.is_leaving(start + seconds(29)));
+    cr_assert_not(state.is_leaving(start + seconds(31)));
+}
+
+Test(server_state, leaving_cell_counts_alone) {
+    auto row = make_row("a");
+    row.leaving = true;
+    const server_state state(row, start);
+    cr_assert(state.is_leaving(start + seconds(1000)));
+}
+
+Test(dispatcher, full_servers_make_calls_wait_then_start) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(1, 1), start);
+    const auto first =
+        pick<start_attempt>(decisions.submit(make_call(1), start));
+    cr_assert_eq(first.size(), 1);
+    cr_assert(
+        pick<start_attempt>(decisions.submit(make_call(2), start)).empty());
+    decisions.on_head(first[0].attempt, false, start);
+    const auto next = decisions.on_ended(first[0].attempt, attempt_completed{},
+                                         start + milliseconds(5));
+    cr_assert_eq(pick<start_attempt>(next).size(), 1);
+}
+
+Test(dispatcher, waiting_call_is_refused_at_its_deadline) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(1, 1), start);
+    decisions.submit(make_call(1), start);
+    decisions.submit(make_call(2), start);
+    const auto ended =
+        pick<finish_call>(decisions.tick(start + milliseconds(100)));
+    cr_assert_eq(ended.size(), 2);
+    cr_assert_eq(decisions.calls(), 0);
+    for (const auto& one : ended) {
+        const bool ran = one.call == call_id{1};
+        cr_assert_eq(certainly_not_run(one.outcome), !ran);
+    }
+}
+
+Test(dispatcher, lost_answer_of_non_idempotent_call_is_not_retried) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(2), start);
+    const auto first =
+        pick<start_attempt>(decisions.submit(make_call(1), start));
+    const auto after = decisions.on_ended(
+        first[0].attempt, attempt_lost{may_have_run_reason::connection_lost},
+        start);
+    cr_assert(pick<start_attempt>(after).empty());
+    cr_assert_eq(pick<finish_call>(after).size(), 1);
+}
+
+Test(dispatcher, refusal_of_non_idempotent_call_is_retried_elsewhere) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(2), start);
+    const auto first =
+        pick<start_attempt>(decisions.submit(make_call(1), start));
+    const auto after = pick<start_attempt>(decisions.on_ended(
+        first[0].attempt, attempt_refused{not_run_reason::shed}, start));
+    cr_assert_eq(after.size(), 1);
+    cr_assert_neq(after[0].server.backend_server,
+                  first[0].server.backend_server);
+}
+
+Test(dispatcher, refusal_after_loss_stays_may_have_run) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(2), start);
+    auto attempts =
+        pick<start_attempt>(decisions.submit(make_call(1, true), start));
+    attempts = pick<start_attempt>(decisions.on_ended(
+        attempts[0].attempt, attempt_lost{may_have_run_reason::connection_lost},
+        start));
+    for (int i = 0; i < 10 && !attempts.empty(); ++i) {
+        const auto after = decisions.on_ended(
+            attempts[0].attempt, attempt_refused{not_run_reason::shed}, start);
+        for (const auto& ended : pick<finish_call>(after)) {
+            cr_assert_not(certainly_not_run(ended.outcome));
+        }
+        attempts = pick<start_attempt>(after);
+    }
+    decisions.tick(start + seconds(1));
+    cr_assert_eq(decisions.calls(), 0);
+}
+
+Test(dispatcher, slow_read_is_hedged_and_loser_cancelled) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(2), start);
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        const auto sent =
+            pick<start_attempt>(decisions.submit(make_call(i, true), start));
+        decisions.on_head(sent[0].attempt, false, start + milliseconds(1));
+        decisions.on_ended(sent[0].attempt, attempt_completed{},
+                           start + milliseconds(1));
+    }
+    const auto slow =
+        pick<start_attempt>(decisions.submit(make_call(100, true), start));
+    const auto hedge =
+        pick<start_attempt>(decisions.tick(start + milliseconds(50)));
+    cr_assert_eq(hedge.size(), 1);
+    cr_assert_neq(hedge[0].server.backend_server,
+                  slow[0].server.backend_server);
+    const auto won =
+        decisions.on_head(hedge[0].attempt, false, start + milliseconds(51));
+    cr_assert_eq(pick<cancel_attempt>(won).at(0).attempt, slow[0].attempt);
+}
+
+Test(dispatcher, limit_is_shared_over_instances) {
+    auto table = make_table(4);
+    const std::vector<raw_row> edit{{"svc", 9, false, {{"limit", "3"}}}};
+    table.apply(edit, 9);
+    unsigned running = 0;
+    for (std::size_t rank = 0; rank < 2; ++rank) {
+        dispatcher decisions({}, 1);
+        decisions.set_share({2, rank});
+        decisions.apply_table(table, start);
+        for (std::uint64_t i = 0; i < 10; ++i) {
+            running +=
+                pick<start_attempt>(decisions.submit(make_call(i), start))
+                    .size();
+        }
+    }
+    cr_assert_eq(running, 3);
+}
+
+Test(dispatcher, leaving_server_gets_no_work) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(2), start);
+    decisions.find_server({"svc", "s0"})->mark_leaving(start);
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        const auto sent =
+            pick<start_attempt>(decisions.submit(make_call(i), start));
+        cr_assert_eq(sent.at(0).server.backend_server, "s1");
+    }
+}
+
+Test(dispatcher, long_work_leaves_a_slot_for_short_work) {
+    dispatcher decisions({}, 1);
+    decisions.apply_table(make_table(1, 3), start);
+    unsigned started = 0;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        auto one = make_call(i);
+        one.length = work_length::long_work;
+        started += pick<start_attempt>(decisions.submit(one, start)).size();
+    }
+    cr_assert_eq(started, 2);
+    // Long calls that wait must not keep a short one from its slot.
+    auto arrived = make_call(10);
+    arrived.deadline = start + milliseconds(50);
+    cr_assert_eq(pick<start_attempt>(decisions.submit(arrived, start)).size(),
+                 1);
+}
--- /dev/null
+++ b/test/unit/operation_test.cpp
@@ -0,0 +1,354 @@
+#include "history.hpp"
+#include "lacewingbeam/claim_book.hpp"
+#include "lacewingbeam/membership.hpp"
+#include "lacewingbeam/operation_ledger.hpp"
+#include "lacewingbeam/table.hpp"
+#include "lacewingbeam/ticket.hpp"
+
+#include <criterion/criterion.h>
+
+// Tickets, ledger, claims, membership, table, and the history checker.
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point start{seconds(100)};
+const std::string key = "sixteen bytes or more";
+
+incarnation make_id(std::uint64_t seed) {
+    random_engine engine(seed);
+    return draw_incarnation(engine);
+}
+
+operation_send make_send(unsigned attempt = 1, std::uint64_t call = 1) {
+    return {{"op"},
+            9,
+            attempt,
+            call_id{call},
+            start + seconds(60),
+            start + seconds(120)};
+}
+
+raw_row make_row(const std::string& row_key, std::uint64_t version,
+                 std::vector<cell> cells) {
+    return {row_key, version, false, std::move(cells)};
+}
+
+member make_member(std::uint64_t seed, const std::string& host) {
+    member made;
+    made.id = make_id(seed);
+    made.peer_address = host + ":7000";
+    return made;
+}
+
+} // namespace
+
+Test(ticket, encoded_and_decoded_is_the_same) {
+    const ticket value{make_id(1), 42, start};
+    cr_assert(decode(encode(value, key), key) == value);
+}
+
+Test(ticket, decoded_with_another_key_is_nothing) {
+    const auto text = encode({make_id(1), 42, start}, key);
+    cr_assert_not(decode(text, "another key, also long").has_value());
+}
+
+Test(ticket, any_changed_digit_is_nothing) {
+    const auto text = encode({make_id(1), 42, start}, key);
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        auto changed = text;
+        changed[i] = changed[i] == '0' ? '1' : '0';
+        cr_assert_not(decode(changed, key).has_value());
+    }
+    cr_assert_not(decode(std::string(text.size(), 'z'), key).has_value());
+    cr_assert_not(decode("", key).has_value());
+}
+
+Test(ledger, second_send_while_running_waits_and_is_named) {
+    operation_ledger ledger({});
+    cr_assert(
+        std::holds_alternative<may_start>(ledger.begin(make_send(), start)));
+    cr_assert(std::holds_alternative<wait_for_result>(
+        ledger.begin(make_send(1, 2), start)));
+    const auto waiters =
+        ledger.finish({"op"}, completed{}, recorded_answer{200, {}, "x"});
+    cr_assert_eq(waiters.size(), 1);
+    const auto again = ledger.begin(make_send(1, 3), start);
+    cr_assert_eq(std::get<replay>(again).answer.body, "x");
+}
+
+Test(ledger, not_run_closes_for_same_attempt_and_opens_for_higher) {
+    operation_ledger ledger({});
+    ledger.begin(make_send(2), start);
+    ledger.finish({"op"}, not_run{not_run_reason::shed}, {});
+    for (const unsigned attempt : {1U, 2U}) {
+        const auto refused = ledger.begin(make_send(attempt), start);
+        cr_assert(certainly_not_run(std::get<answer_now>(refused).outcome));
+    }
+    cr_assert(
+        std::holds_alternative<may_start>(ledger.begin(make_send(3), start)));
+}
+
+Test(ledger, may_have_run_never_starts_again) {
+    operation_ledger ledger({});
+    ledger.begin(make_send(), start);
+    ledger.finish({"op"}, may_have_run{may_have_run_reason::connection_lost},
+                  {});
+    const auto again = ledger.begin(make_send(9), start);
+    cr_assert_not(certainly_not_run(std::get<answer_now>(again).outcome));
+}
+
+Test(ledger, expired_ticket_never_starts) {
+    operation_ledger ledger({});
+    const auto late = ledger.begin(make_send(), start + seconds(61));
+    cr_assert(std::get<answer_now>(late).outcome ==
+              verdict(not_run{not_run_reason::ticket_expired}));
+    const auto later = ledger.begin(make_send(), start + seconds(121));
+    cr_assert_not(certainly_not_run(std::get<answer_now>(later).outcome));
+}
+
+Test(ledger, running_operation_is_never_forgotten) {
+    operation_ledger ledger({});
+    ledger.begin(make_send(), start);
+    ledger.expire(start + seconds(1000));
+    cr_assert_eq(ledger.size(), 1);
+    ledger.finish({"op"}, completed{}, {});
+    ledger.expire(start + seconds(2000));
+    cr_assert_eq(ledger.size(), 0);
+}
+
+Test(ledger, answers_beyond_memory_are_known_to_have_run) {
+    operation_ledger ledger({1000, 100});
+    for (int i = 0; i < 5; ++i) {
+        auto send = make_send();
+        send.operation.text = "op" + std::to_string(i);
+        ledger.begin(send, start);
+        ledger.finish(send.operation, completed{},
+                      recorded_answer{200, {}, std::string(40, 'x')});
+    }
+    cr_assert_leq(ledger.answer_bytes(), 100);
+    auto oldest = make_send();
+    oldest.operation.text = "op0";
+    const auto again = ledger.begin(oldest, start);
+    cr_assert(std::get<answer_now>(again).outcome ==
+              verdict(may_have_run{may_have_run_reason::answer_not_kept}));
+}
+
+Test(ledger, full_one_starts_nothing_new) {
+    operation_ledger ledger({1, 100});
+    ledger.begin(make_send(), start);
+    auto other = make_send();
+    other.operation.text = "other";
+    const auto refused = ledger.begin(other, start);
+    cr_assert_not(certainly_not_run(std::get<answer_now>(refused).outcome));
+}
+
+Test(claims, lost_answer_is_settled_by_reading_back) {
+    claim_book book(make_id(1), 64);
+    random_engine engine(5);
+    book.request("k", start, engine);
+    const auto batch = book.next_batch();
+    cr_assert_eq(batch->claims.size(), 1);
+    book.on_unknown(batch->number);
+    cr_assert_eq(book.next_reads().size(), 1);
+    const auto events = book.on_read("k", batch->claims[0]);
+    cr_assert(std::holds_alternative<claim_won>(events.at(0)));
+}
+
+Test(claims, row_of_another_is_taken) {
+    claim_book book(make_id(1), 64);
+    random_engine engine(5);
+    book.request("k", start, engine);
+    book.request("other", start, engine);
+    const auto batch = book.next_batch();
+    const std::vector<claim> existing{{"k", make_id(2), "n"}};
+    const auto events = book.on_conflict(batch->number, existing);
+    cr_assert_eq(events.size(), 1);
+    cr_assert(std::get<claim_taken>(events[0]).claimant == make_id(2));
+    cr_assert_eq(book.next_batch()->claims.at(0).key, "other");
+}
+
+Test(claims, abandoned_one_keeps_its_nonce_for_the_next_try) {
+    claim_book book(make_id(1), 64);
+    random_engine engine(5);
+    book.request("k", start, engine);
+    const auto first = book.next_batch();
+    cr_assert(
+        std::holds_alternative<claim_abandoned>(book.expire(start).at(0)));
+    book.on_unknown(first->number);
+    book.request("k", start + seconds(1), engine);
+    const auto second = book.next_batch();
+    cr_assert_eq(second->claims.at(0).nonce, first->claims.at(0).nonce);
+    const auto events = book.on_conflict(second->number, first->claims);
+    cr_assert(std::holds_alternative<claim_won>(events.at(0)));
+}
+
+Test(claims, claim_of_own_forgotten_run_is_taken) {
+    claim_book book(make_id(1), 64);
+    random_engine engine(5);
+    book.request("k", start, engine);
+    const auto batch = book.next_batch();
+    const std::vector<claim> existing{{"k", make_id(1), "older nonce"}};
+    const auto events = book.on_conflict(batch->number, existing);
+    cr_assert(std::holds_alternative<claim_taken>(events.at(0)));
+}
+
+Test(membership, silent_peer_is_suspected_then_gone) {
+    membership view(make_member(1, "10.0.0.1"), {});
+    cr_assert(view.on_heartbeat(make_member(2, "10.0.0.2"), 1, start));
+    cr_assert_eq(view.active_count(start), 2);
+    cr_assert_eq(view.active_count(start + seconds(4)), 1);
+    cr_assert(view.find(make_id(2), start + seconds(4))->state ==
+              member_state::suspected);
+    view.expire(start + seconds(16));
+    cr_assert_not(view.find(make_id(2), start + seconds(16)).has_value());
+}
+
+Test(membership, old_heartbeat_is_ignored) {
+    membership view(make_member(1, "10.0.0.1"), {});
+    view.on_heartbeat(make_member(2, "10.0.0.2"), 5, start);
+    cr_assert_not(view.on_heartbeat(make_member(2, "10.0.0.2"), 4, start));
+}
+
+Test(membership, new_life_at_an_address_ends_the_old_one) {
+    membership view(make_member(1, "10.0.0.1"), {});
+    view.on_heartbeat(make_member(2, "10.0.0.2"), 5, start);
+    view.on_heartbeat(make_member(3, "10.0.0.2"), 1, start);
+    cr_assert_not(view.find(make_id(2), start).has_value());
+    cr_assert_eq(view.active_count(start), 2);
+}
+
+Test(membership, hearsay_makes_nobody_alive) {
+    membership view(make_member(1, "10.0.0.1"), {});
+    const std::vector<member> told{make_member(2, "10.0.0.2")};
+    view.on_hearsay(told, start);
+    cr_assert_eq(view.active_count(start), 1);
+    random_engine engine(1);
+    cr_assert_eq(view.heartbeat_targets(engine, start).at(0), "10.0.0.2:7000");
+}
+
+Test(membership, heartbeats_go_to_a_bounded_number) {
+    membership view(make_member(1, "10.0.0.1"), {});
+    for (std::uint64_t i = 2; i < 200; ++i) {
+        view.on_heartbeat(make_member(i, "10.0.1." + std::to_string(i)), 1,
+                          start);
+    }
+    random_engine engine(1);
+    cr_assert_eq(view.heartbeat_targets(engine, start).size(), 4);
+}
+
+Test(table_view, older_version_is_ignored) {
+    table_view table;
+    const std::vector<raw_row> fresh{
+        make_row("svc", 5, {{"deadline_ms", "100"}})};
+    const std::vector<raw_row> stale{
+        make_row("svc", 3, {{"deadline_ms", "900"}})};
+    table.apply(fresh, 5);
+    table.apply(stale, 4);
+    table.apply(stale, 6);
+    cr_assert(table.find_service("svc")->deadline == milliseconds(100));
+    cr_assert_eq(table.version(), 6);
+}
+
+Test(table_view, bad_row_keeps_last_good_state_and_says_why) {
+    table_view table;
+    const std::vector<raw_row> good{
+        make_row("svc", 1, {{"deadline_ms", "100"}})};
+    const std::vector<raw_row> bad{make_row("svc", 2, {{"deadline_ms", "x"}})};
+    table.apply(good, 1);
+    const auto result = table.apply(bad, 2);
+    cr_assert_eq(result.rejected.size(), 1);
+    cr_assert_neq(result.rejected[0].find("deadline_ms"), std::string::npos);
+    cr_assert(table.find_service("svc")->deadline == milliseconds(100));
+}
+
+Test(table_view, removed_server_is_gone_and_tombstone_is_told_on) {
+    table_view table;
+    const std::vector<raw_row> rows{
+        make_row("svc", 1, {}),
+        make_row("svc/a", 2, {{"address", "127.0.0.1:1"}})};
+    table.apply(rows, 2);
+    const std::vector<raw_row> removal{{"svc/a", 3, true, {}}};
+    table.apply(removal, 3);
+    cr_assert(table.servers_of("svc").empty());
+    cr_assert_eq(table.rows_after(2).size(), 1);
+}
+
+Test(service_row, methods_decide_unless_the_table_does) {
+    auto row = parse_service_row(make_row("svc", 1, {}));
+    cr_assert_not(row.is_idempotent("POST", "/x"));
+    cr_assert(row.is_idempotent("GET", "/x"));
+    row = parse_service_row(
+        make_row("svc", 1, {{"non_idempotent", "GET /draw; * /order"}}));
+    cr_assert(row.is_idempotent("POST", "/x"));
+    cr_assert_not(row.is_idempotent("GET", "/draw/1"));
+    cr_assert_not(row.is_idempotent("PUT", "/order"));
+}
+
+Test(server_row, bad_cells_are_named_with_what_is_allowed) {
+    for (const auto& bad : std::vector<cell>{{"weight", "-1"},
+                                             {"weight", "1e9"},
+                                             {"slots", "0"},
+                                             {"slots", "3.5"},
+                                             {"state", "asleep"},
+                                             {"address", "host:80"},
+                                             {"colour", "red"}}) {
+        std::vector<cell> cells{{"address", "127.0.0.1:80"}};
+        if (bad.name == "address") {
+            cells.clear();
+        }
+        cells.push_back(bad);
+        try {
+            parse_server_row(make_row("svc/a", 1, cells));
+            cr_assert_fail("%s was accepted", bad.name.c_str());
+        } catch (const table_error& problem) {
+            cr_assert_neq(std::string(problem.what()).find(bad.name),
+                          std::string::npos);
+        }
+    }
+}
+
+Test(history, doubled_run_is_found) {
+    fake::history history;
+    history.sent({start, 1, 1, "op", true, true, ""});
+    history.ran({start, "op", "a", 1});
+    cr_assert(history.violations(1, seconds(5)).empty());
+    history.ran({start, "op", "b", 1});
+    cr_assert_eq(history.violations(1, seconds(5)).size(), 1);
+}
+
+Test(history, false_not_run_is_found_before_and_after) {
+    for (const auto ran_at : {start, start + seconds(9)}) {
+        fake::history history;
+        history.sent({start, 1, 1, "op", true, true, ""});
+        history.ran({ran_at, "op", "a", 1});
+        history.answered({start + seconds(1),
+                          "op",
+                          not_run{not_run_reason::shed},
+                          {},
+                          1,
+                          start + seconds(1)});
+        cr_assert_eq(history.violations(1, seconds(5)).size(), 1);
+    }
+}
+
+Test(history, crossed_answer_is_found) {
+    fake::history history;
+    history.sent({start, 1, 1, "op", true, true, ""});
+    history.answered({start, "op", completed{}, "other", 1, start});
+    cr_assert_eq(history.violations(1, seconds(5)).size(), 1);
+}
+
+Test(history, revert_probe_excess_and_late_work_are_found) {
+    fake::history history;
+    history.saw_version("a", 2);
+    history.saw_version("a", 1);
+    for (int i = 0; i < 61; ++i) {
+        history.probed({start, "a"});
+    }
+    history.left("a", start);
+    history.ran({start + seconds(6), "read", "a", 1});
+    cr_assert_eq(history.violations(1, seconds(5)).size(), 3);
+}
