--- /dev/null
+++ b/bench/load_generator.cpp
@@ -0,0 +1,152 @@
+#include "load_generator.hpp"
+
+#include <algorithm>
+
+namespace lacewingbeam::bench {
+
+namespace {
+
+constexpr duration send_interval = std::chrono::microseconds(200);
+constexpr std::size_t kept_start = 64;
+constexpr int first_server_error = 500;
+
+pool_options make_pool_options() {
+    pool_options options;
+    options.connect_timeout = std::chrono::seconds(2);
+    options.stall_timeout = std::chrono::seconds(60);
+    return options;
+}
+
+std::string query_of(const planned_call& call, const work_class& kind) {
+    const auto ms =
+        std::chrono::round<std::chrono::milliseconds>(call.work).count();
+    return "?ms=" + std::to_string(std::max<std::int64_t>(ms, 0)) +
+           "&bytes=" + std::to_string(kind.answer_bytes);
+}
+
+} // namespace
+
+load_generator::load_generator(const load_plan& plan, generator_options options)
+    : plan_(plan), options_(std::move(options)),
+      pool_(loop_, make_pool_options()), report_(plan) {}
+
+load_report load_generator::run() {
+    start_ = loop_.now();
+    const auto timer = loop_.every(send_interval, [this] { send_due(); });
+    loop_.run();
+    return std::move(report_);
+}
+
+void load_generator::send_due() {
+    const auto now = loop_.now();
+    while (next_ < plan_.calls.size() &&
+           start_ + plan_.calls[next_].at <= now) {
+        send(plan_.calls[next_++]);
+    }
+    end_if_done();
+}
+
+void load_generator::end_if_done() {
+    if (next_ < plan_.calls.size()) {
+        return;
+    }
+    const auto last = plan_.calls.empty() ? duration{} : plan_.calls.back().at;
+    if (open_.empty() || loop_.now() > start_ + last + options_.patience) {
+        for (const auto& [number, call] : open_) {
+            ++report_.at(call.plan->phase, call.plan->work_class)
+                  .verdicts["no answer"];
+        }
+        open_.clear();
+        loop_.stop();
+    }
+}
+
+void load_generator::send(const planned_call& call) {
+    const auto number = ++sent_;
+    const auto& kind = plan_.classes[call.work_class];
+    auto& open = open_[number];
+    open.plan = &call;
+    open.target = options_.targets[number % options_.targets.size()];
+    open.operation = options_.operation_prefix + std::to_string(number) + ";";
+    ++report_.at(call.phase, call.work_class).sent;
+    http_request request;
+    request.method = parse_method(kind.method).value_or(EVHTTP_REQ_GET);
+    request.target = kind.target + query_of(call, kind);
+    request.headers.push_back({"x-operation", open.operation});
+    if (kind.ticketed) {
+        auto& tickets = tickets_[open.target];
+        request.headers.push_back({"lacewingbeam-want-ticket", "1"});
+        if (!tickets.empty()) {
+            request.headers.push_back({"lacewingbeam-ticket", tickets.front()});
+            tickets.pop_front();
+        }
+    }
+    if (request.method == EVHTTP_REQ_POST) {
+        request.body = open.operation;
+    }
+    exchange_events events;
+    events.head = [this, number](const http_answer_head& head) {
+        open_.at(number).head = head;
+    };
+    events.body = [this, number](std::string_view piece) {
+        auto& answered = open_.at(number);
+        answered.received += piece.size();
+        answered.start += piece.substr(
+            0, kept_start - std::min(kept_start, answered.start.size()));
+    };
+    events.end = [this, number] {
+        finish(number);
+    };
+    events.failed = [this, number](const exchange_failure& failure) {
+        fail(number, failure);
+    };
+    pool_.start(open.target, request, {options_.connections, duration::max()},
+                std::move(events));
+}
+
+void load_generator::finish(std::uint64_t number) {
+    const auto found = open_.find(number);
+    if (found == open_.end()) {
+        return;
+    }
+    const auto& call = found->second;
+    auto& cell = report_.at(call.plan->phase, call.plan->work_class);
+    const auto latency = loop_.now() - (start_ + call.plan->at);
+    const auto verdict =
+        std::string(find_header(call.head.headers, "lacewingbeam-verdict")
+                        .value_or("completed"));
+    ++cell.verdicts[verdict];
+    const auto ticket =
+        find_header(call.head.headers, "lacewingbeam-next-ticket");
+    if (ticket) {
+        tickets_[call.target].emplace_back(*ticket);
+    }
+    if (verdict == "completed" && call.head.status >= first_server_error) {
+        ++cell.failed;
+    } else if (verdict == "completed") {
+        cell.completed.add(latency);
+        const bool streamed = call.start.starts_with('x');
+        const bool own = call.start.starts_with(call.operation) || streamed;
+        cell.wrong += own ? 0 : 1;
+    } else if (verdict.starts_with("not_run")) {
+        cell.refused.add(latency);
+    }
+    open_.erase(found);
+}
+
+void load_generator::fail(std::uint64_t number,
+                          const exchange_failure& failure) {
+    const auto found = open_.find(number);
+    if (found == open_.end()) {
+        return;
+    }
+    const auto& call = found->second;
+    auto& cell = report_.at(call.plan->phase, call.plan->work_class);
+    if (call.head.status != 0) {
+        ++cell.cut;
+    }
+    ++cell.verdicts[failure.bytes_sent ? "no answer" : "not sent"];
+    open_.erase(found);
+}
+
+} // namespace lacewingbeam::bench
--- /dev/null
+++ b/bench/load_generator.hpp
@@ -0,0 +1,61 @@
+#ifndef LACEWINGBEAM_BENCH_LOAD_GENERATOR_HPP
+#define LACEWINGBEAM_BENCH_LOAD_GENERATOR_HPP
+
+#include "adapters/connection_pool.hpp"
+#include "load_plan.hpp"
+#include "load_report.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+// Sends a plan's calls at their times, whatever the answers do, so that a
+// slow system cannot slow the load down.
+namespace lacewingbeam::bench {
+
+struct generator_options {
+    std::vector<std::string> targets; // IP:port, used in turn
+    std::string operation_prefix;
+    std::size_t connections = 512;                // to each target
+    duration patience = std::chrono::seconds(10); // after the last call
+};
+
+class load_generator {
+public:
+    load_generator(const load_plan& plan, generator_options options);
+
+    // Sends all calls and waits for their answers.
+    load_report run();
+
+private:
+    struct open_call {
+        const planned_call* plan = nullptr;
+        std::string target;
+        std::string operation;
+        http_answer_head head;
+        std::string start; // of the body
+        std::size_t received = 0;
+    };
+
+    void send_due();
+    void send(const planned_call& call);
+    void finish(std::uint64_t number);
+    void fail(std::uint64_t number, const exchange_failure& failure);
+    void end_if_done();
+
+    const load_plan& plan_;
+    generator_options options_;
+    event_loop loop_;
+    connection_pool pool_;
+    load_report report_;
+    time_point start_;
+    std::size_t next_ = 0;
+    std::map<std::uint64_t, open_call> open_;
+    std::uint64_t sent_ = 0;
+    std::map<std::string, std::deque<std::string>> tickets_; // by target
+};
+
+} // namespace lacewingbeam::bench
+
+#endif
--- /dev/null
+++ b/bench/load_report.cpp
@@ -0,0 +1,70 @@
+#include "load_report.hpp"
+
+namespace lacewingbeam::bench {
+
+namespace {
+
+constexpr unsigned bin_count = 800;
+constexpr double lowest_ms = 0.01;
+constexpr double highest_ms = 100000;
+
+} // namespace
+
+latency_histogram::latency_histogram()
+    : bins_(boost::histogram::make_histogram_with(
+          storage(), axis(bin_count, lowest_ms, highest_ms))) {}
+
+void latency_histogram::add(duration value) {
+    bins_(std::max(lowest_ms, to_ms(value)));
+    ++count_;
+}
+
+double latency_histogram::quantile(double share) const {
+    const double wanted = share * static_cast<double>(count_);
+    double seen = 0;
+    double upper = 0;
+    for (const auto& bin :
+         boost::histogram::indexed(bins_, boost::histogram::coverage::all)) {
+        seen += *bin;
+        upper = bin.bin().upper();
+        if (seen >= wanted && seen > 0) {
+            return upper;
+        }
+    }
+    return upper;
+}
+
+load_report::load_report(const load_plan& plan)
+    : plan_(plan), cells_(plan.phases.size() * plan.classes.size()) {}
+
+class_result& load_report::at(std::size_t phase, std::size_t work_class) {
+    return cells_.at(phase * plan_.classes.size() + work_class);
+}
+
+nlohmann::json load_report::to_json() const {
+    auto phases = nlohmann::json::object();
+    for (std::size_t i = 0; i < plan_.phases.size(); ++i) {
+        auto& phase = phases[plan_.phases[i].name];
+        const auto seconds =
+            std::chrono::duration<double>(plan_.phases[i].length).count();
+        for (std::size_t j = 0; j < plan_.classes.size(); ++j) {
+            const auto& cell = cells_[i * plan_.classes.size() + j];
+            const auto good = cell.completed.count();
+            phase[plan_.classes[j].name] = {
+                {"sent", cell.sent},
+                {"completed", good},
+                {"goodput", static_cast<double>(good) / seconds},
+                {"verdicts", cell.verdicts},
+                {"wrong", cell.wrong},
+                {"cut", cell.cut},
+                {"failed", cell.failed},
+                {"p50_ms", cell.completed.quantile(0.5)},
+                {"p99_ms", cell.completed.quantile(0.99)},
+                {"p999_ms", cell.completed.quantile(0.999)},
+                {"refused_p99_ms", cell.refused.quantile(0.99)}};
+        }
+    }
+    return {{"phases", std::move(phases)}};
+}
+
+} // namespace lacewingbeam::bench
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -4,12 +4,25 @@
 
 namespace lacewingbeam {
 
+namespace {
+
+// Without this flag timers are rounded to milliseconds.
+event_base* make_base() {
+    auto* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto* base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
+} // namespace
+
 void scoped_event::reset() {
     handle_.reset();
     slot_.reset();
 }
 
-event_loop::event_loop() : base_(event_base_new()) {
+event_loop::event_loop() : base_(make_base()) {
     if (base_ == nullptr) {
         throw error("cannot create the event loop");
     }
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -94,7 +94,7 @@
 
 void platform_client::request(evhttp_cmd_type method, const std::string& target,
                               const std::string& body,
-                              sigc::slot<void(const answer&)> done) {
+                              const sigc::slot<void(const answer&)>& done) {
     const auto pending = std::make_shared<pending_answer>();
     const auto finish = [this, pending, done](int status,
                                               const std::string& problem) {
@@ -140,7 +140,7 @@
 
 void platform_client::read_rows(
     std::string_view table, std::uint64_t after_version,
-    sigc::slot<void(const std::optional<table_page>&)> done) {
+    const sigc::slot<void(const std::optional<table_page>&)>& done) {
     const auto target = "/v1/tables/" + std::string(table) +
                         "/rows?after=" + std::to_string(after_version);
     request(EVHTTP_REQ_GET, target, {}, [done](const answer& given) {
@@ -156,8 +156,9 @@
     });
 }
 
-void platform_client::read_row(std::string_view table, const std::string& key,
-                               sigc::slot<void(const read_result&)> done) {
+void platform_client::read_row(
+    std::string_view table, const std::string& key,
+    const sigc::slot<void(const read_result&)>& done) {
     const auto target =
         "/v1/tables/" + std::string(table) + "/row?key=" + escape(key);
     request(EVHTTP_REQ_GET, target, {}, [done](const answer& given) {
@@ -177,7 +178,7 @@
 }
 
 void platform_client::write(const std::vector<row_write>& writes,
-                            sigc::slot<void(const write_result&)> done) {
+                            const sigc::slot<void(const write_result&)>& done) {
     auto list = json::array();
     for (const auto& item : writes) {
         json entry{{"table", item.table},
@@ -211,7 +212,8 @@
 }
 
 void platform_client::read_instances(
-    sigc::slot<void(const std::optional<std::vector<listed_instance>>&)> done) {
+    const sigc::slot<void(const std::optional<std::vector<listed_instance>>&)>&
+        done) {
     request(EVHTTP_REQ_GET, "/v1/instances", {}, [done](const answer& given) {
         std::optional<std::vector<listed_instance>> list;
         if (given.status == status_ok) {
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -65,15 +65,16 @@
                     std::string address, duration timeout);
 
     // Nothing is passed to the slot if the platform did not answer.
-    void read_rows(std::string_view table, std::uint64_t after_version,
-                   sigc::slot<void(const std::optional<table_page>&)> done);
+    void
+    read_rows(std::string_view table, std::uint64_t after_version,
+              const sigc::slot<void(const std::optional<table_page>&)>& done);
     void read_row(std::string_view table, const std::string& key,
-                  sigc::slot<void(const read_result&)> done);
+                  const sigc::slot<void(const read_result&)>& done);
     void write(const std::vector<row_write>& writes,
-               sigc::slot<void(const write_result&)> done);
+               const sigc::slot<void(const write_result&)>& done);
     void read_instances(
-        sigc::slot<void(const std::optional<std::vector<listed_instance>>&)>
-            done);
+        const sigc::slot<
+            void(const std::optional<std::vector<listed_instance>>&)>& done);
 
 private:
     struct answer {
@@ -83,7 +84,8 @@
     };
 
     void request(evhttp_cmd_type method, const std::string& target,
-                 const std::string& body, sigc::slot<void(const answer&)> done);
+                 const std::string& body,
+                 const sigc::slot<void(const answer&)>& done);
 
     event_loop& loop_;
     connection_pool& pool_;
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -262,6 +262,7 @@
     const auto* section = find_section(schema, item.section);
     if (section == nullptr) {
         std::vector<std::string> names;
+        names.reserve(schema.size());
         for (const auto& known : schema) {
             names.push_back(known.name);
         }
@@ -272,6 +273,7 @@
     const auto* rule = find_rule(*section, item.name);
     if (rule == nullptr) {
         std::vector<std::string> names;
+        names.reserve(section->settings.size());
         for (const auto& known : section->settings) {
             names.push_back(known.name);
         }
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "lacewingbeam/coordinator.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingbeam {
 
@@ -370,7 +371,8 @@
         operations_.erase(found);
         const bool ran = std::holds_alternative<completed>(over.outcome);
         finish_operation(operation, over.outcome,
-                         ran ? std::move(answer) : std::nullopt,
+                         ran ? std::exchange(answer, std::nullopt)
+                             : std::nullopt,
                          over.retry_after, out);
     }
 }
--- a/src/decisions/row_parser.cpp
+++ b/src/decisions/row_parser.cpp
@@ -143,7 +143,7 @@
 }
 
 std::string parse_address(const raw_row& row) {
-    const std::string text(row.value_of("address"));
+    std::string text(row.value_of("address"));
     if (!parse_endpoint(text)) {
         reject(row, "address",
                "\"" + text + "\" is not an IP address and port, IP:port");
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 constexpr int status_misdirected = 421;
 constexpr int first_server_error = 500;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -147,12 +147,14 @@
     };
     gateway_->decided.connect(carry_out);
     sync_->decided.connect(carry_out);
-    callers_.request.connect([this](std::shared_ptr<incoming_request> one) {
-        gateway_->on_request(std::move(one));
-    });
-    admins_.request.connect([this](std::shared_ptr<incoming_request> one) {
-        admin_->on_request(one);
-    });
+    callers_.request.connect(
+        [this](const std::shared_ptr<incoming_request>& one) {
+            gateway_->on_request(one);
+        });
+    admins_.request.connect(
+        [this](const std::shared_ptr<incoming_request>& one) {
+            admin_->on_request(one);
+        });
     peers_.received.connect(
         [this](const std::string& from, const peer_message& message) {
             auto actions = decisions_->on_message(from, message, loop_.now());
--- a/src/tool/instance_commands.cpp
+++ b/src/tool/instance_commands.cpp
@@ -23,7 +23,7 @@
     if (result.status == 0) {
         throw unreachable_error("instance " + address + " did not answer");
     }
-    const auto body = json::parse(result.body, nullptr, false);
+    auto body = json::parse(result.body, nullptr, false);
     if (result.status != status_ok) {
         throw error(body.is_object() ? body.value("title", "request refused")
                                      : "request refused");
--- a/test/integration/process.cpp
+++ b/test/integration/process.cpp
@@ -22,6 +22,7 @@
 
 std::vector<char*> make_arguments(const std::vector<std::string>& command) {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto& word : command) {
         arguments.push_back(const_cast<char*>(word.c_str()));
     }
--- a/test/standins/json_server.cpp
+++ b/test/standins/json_server.cpp
@@ -42,7 +42,13 @@
 } // namespace
 
 event_base* loop() {
-    static event_base* const base = event_base_new();
+    static event_base* const base = [] {
+        auto* config = event_config_new();
+        event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+        auto* made = event_base_new_with_config(config);
+        event_config_free(config);
+        return made;
+    }();
     return base;
 }
 
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -19,7 +19,6 @@
 constexpr int bad_request = 400;
 constexpr int not_found = 404;
 constexpr int conflict = 409;
-constexpr int unavailable = 503;
 
 struct row {
     std::uint64_t version = 0;
--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -89,6 +89,7 @@
     own.seed = engine_();
     created->decisions = std::make_unique<coordinator>(own, now_);
     std::vector<std::string> seeds;
+    seeds.reserve(nodes_.size());
     for (const auto& [other_name, other] : nodes_) {
         seeds.push_back(other->decisions->own().peer_address);
     }
@@ -322,7 +323,9 @@
 
 void world::hang_up(const std::string& operation) {
     for (const auto& [name, self] : nodes_) {
-        for (const auto& [id, call] : self->calls) {
+        for (const auto& open : self->calls) {
+            const auto id = open.first;
+            const auto& call = open.second;
             if (call.operation == operation && call.from.empty()) {
                 answer_later(
                     *self, duration::zero(), [this, id](node& at_node) {
@@ -379,7 +382,7 @@
     }
 };
 
-void world::carry_out(node& at_node, coordinator::actions actions) {
+void world::carry_out(node& at_node, const coordinator::actions& actions) {
     for (const auto& item : actions) {
         std::visit(action_runner{*this, at_node}, item);
     }
@@ -387,7 +390,7 @@
 
 void world::end_attempt(const std::string& name, std::uint64_t life,
                         attempt_id attempt, attempt_result result,
-                        std::optional<recorded_answer> answer) {
+                        const std::optional<recorded_answer>& answer) {
     on_node(name, life, [this, attempt, result, answer](node& self) {
         const auto found = self.attempts.find(attempt);
         if (found == self.attempts.end()) {
--- a/test/support/fake_world.hpp
+++ b/test/support/fake_world.hpp
@@ -113,12 +113,13 @@
     void poll_platform(const std::string& name, std::uint64_t life);
     void on_node(const std::string& name, std::uint64_t life,
                  std::function<void(node&)> function);
-    void carry_out(node& at_node, coordinator::actions actions);
+    void carry_out(node& at_node, const coordinator::actions& actions);
     void run_on_server(node& at_node, const lacewingbeam::start_attempt& order);
-    void end_attempt(const std::string& name, std::uint64_t life,
-                     lacewingbeam::attempt_id attempt,
-                     lacewingbeam::attempt_result result,
-                     std::optional<lacewingbeam::recorded_answer> answer);
+    void
+    end_attempt(const std::string& name, std::uint64_t life,
+                lacewingbeam::attempt_id attempt,
+                lacewingbeam::attempt_result result,
+                const std::optional<lacewingbeam::recorded_answer>& answer);
     void forward(node& from, const lacewingbeam::forward_call& order);
     void write_claims(node& from, const lacewingbeam::write_claims& order);
     void read_claim(node& from, const lacewingbeam::read_claim& order);
