--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -272,6 +272,7 @@
             }
         }
         std::vector<raw_row> list;
+        list.reserve(rows.size());
         for (auto& [key, row] : rows) {
             list.push_back(row);
         }
