Reach every peer before it suspects; apply edits by service

At 18 instances four random targets every 500 ms leave a given peer silent for 3 s with a chance of 0.2, so shares of limits were off. Heartbeats now go to members in turn, each twice within suspect_after (at most 16 a round), and ages told by peers keep a known member alive. An edit rebuilds only its service, and the instance list is matched by hash: both were linear in all backend servers, the latter quadratic.

--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -260,7 +261,8 @@
     void refuse_at_once(const arriving_call& arriving, not_run_reason reason,
                         time_point now, actions& out);
     call make_call(const arriving_call& arriving, time_point now) const;
-    void after_table_change(time_point now);
+    void after_table_change(const std::set<std::string, std::less<>>& services,
+                            time_point now);
     void ask_for_table(const std::string& peer_address, time_point now,
                        actions& out);
     void on_table_rows(const table_rows& rows, time_point now);
--- a/include/lacewingbeam/dispatcher.hpp
+++ b/include/lacewingbeam/dispatcher.hpp
@@ -106,9 +106,13 @@
 
     using actions = std::vector<dispatch_action>;
 
-    // The table changed.
+    // The table changed; takes over every service.
     void apply_table(const table_view& table, time_point now);
 
+    // One service of the table changed or went away.
+    void apply_service(const table_view& table, std::string_view name,
+                       time_point now);
+
     void set_share(instance_share share) { share_ = share; }
 
     // While holding, no attempt is started; calls wait.
--- a/include/lacewingbeam/membership.hpp
+++ b/include/lacewingbeam/membership.hpp
@@ -29,7 +29,9 @@
 struct membership_options {
     duration suspect_after = std::chrono::seconds(3);
     duration gone_after = std::chrono::seconds(15);
-    std::size_t fan_out = 4;
+    duration heartbeat_interval = std::chrono::milliseconds(500);
+    std::size_t fan_out = 4;      // members that get a heartbeat, at least
+    std::size_t max_fan_out = 16; // at most
 };
 
 class membership {
@@ -46,20 +48,21 @@
     bool on_heartbeat(const member& sender, std::uint64_t sequence,
                       time_point now);
 
-    // What a peer says of others. Only makes unknown members contactable;
-    // nobody is believed alive on hearsay.
+    // What a peer says of others. An unknown member becomes contactable, but
+    // is not believed alive; a known one was heard of when the peer heard it.
     void on_hearsay(std::span<const member> members, time_point now);
 
     // Drops members not heard of for long.
     void expire(time_point now);
 
-    // Where to send this round's heartbeats: a bounded number of members,
-    // chosen at random, and one address where nobody is known yet.
-    std::vector<std::string> heartbeat_targets(random_engine& engine,
-                                               time_point now);
+    // Where to send this round's heartbeats: members in turn, such that each
+    // is reached twice within suspect_after while max_fan_out allows it, and
+    // a few addresses where nobody is known yet.
+    std::vector<std::string> heartbeat_targets(time_point now);
 
-    // A few members to tell peers about, the latest heard of first.
-    std::vector<member> digest(std::size_t limit, time_point now) const;
+    // A few random members to tell peers about.
+    std::vector<member> digest(std::size_t limit, random_engine& engine,
+                               time_point now) const;
 
     // The member with that incarnation, unless it is gone; one known only by
     // hearsay shows as suspected.
@@ -93,6 +96,7 @@
     bool is_active(const record& value, time_point now) const;
     bool address_known(const std::string& peer_address) const;
     std::vector<std::string> strangers() const;
+    std::size_t targets_per_round() const;
 
     member own_;
     membership_options options_;
@@ -101,6 +105,7 @@
     std::vector<std::string> listed_;
     std::map<incarnation, record> hearsay_;
     std::size_t next_contact_ = 0;
+    incarnation last_target_;
 };
 
 } // namespace lacewingbeam
--- a/include/lacewingbeam/table.hpp
+++ b/include/lacewingbeam/table.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -98,8 +99,8 @@
 
 // What became of a set of rows given to table_view.
 struct apply_result {
-    bool changed = false;
-    std::vector<std::string> rejected; // one message for each bad row
+    std::set<std::string, std::less<>> changed; // names of services
+    std::vector<std::string> rejected;          // one message for each bad row
 };
 
 // An instance's copy of the table. Versions only grow: whatever is older
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -22,7 +22,7 @@
   1: string seeds = "" (kind = "endpoints", help = "IP:port of peers to contact first, separated by commas"),
   2: string key_file = "" (help = "file with the key that authenticates peers' messages and tickets; the same on every instance"),
   3: i32 heartbeat_interval = 500 (unit = "ms", min = "50", max = "5000", help = "time between two rounds of heartbeats"),
-  4: i32 fan_out = 4 (unit = "count", min = "1", max = "64", help = "peers that get a heartbeat in one round"),
+  4: i32 fan_out = 4 (unit = "count", min = "1", max = "64", help = "peers that get a heartbeat in one round, at least"),
   5: i32 suspect_after = 3000 (unit = "ms", min = "200", max = "60000", help = "silence after which a peer is suspected"),
   6: i32 gone_after = 15000 (unit = "ms", min = "1000", max = "600000", help = "silence after which a peer is forgotten"),
 }
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -1,6 +1,8 @@
 #include "lacewingbeam/coordinator.hpp"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 // The part of the coordinator that keeps the instance's knowledge fresh:
 // table, membership, load, probes, journal and shutdown.
@@ -85,17 +87,17 @@
         return {};
     }
     auto result = table_.apply(rows, version);
-    if (result.changed) {
-        after_table_change(now);
+    if (!result.changed.empty()) {
+        after_table_change(result.changed, now);
     }
     confirm_table(asked_at);
     return std::move(result.rejected);
 }
 
-void coordinator::after_table_change(time_point now) {
-    dispatcher_.apply_table(table_, now);
-    servers_by_hash_.clear();
-    for (const auto& name : table_.service_names()) {
+void coordinator::after_table_change(
+    const std::set<std::string, std::less<>>& services, time_point now) {
+    for (const auto& name : services) {
+        dispatcher_.apply_service(table_, name, now);
         for (const auto& row : table_.servers_of(name)) {
             servers_by_hash_[hash(row.key)] = row.key;
         }
@@ -116,19 +118,20 @@
                                    time_point now) {
     observe(now);
     std::vector<std::string> peers;
+    std::unordered_set<std::string_view> leaving;
     for (const auto& item : list) {
         if (item.is_peer) {
             peers.push_back(item.address);
+        } else if (item.leaving) {
+            leaving.insert(item.address);
         }
     }
     membership_.set_listed(peers);
+    if (leaving.empty()) {
+        return;
+    }
     dispatcher_.for_each_server([&](server_state& state) {
-        const bool leaving = std::any_of(
-            list.begin(), list.end(), [&](const listed_instance& item) {
-                return !item.is_peer && item.leaving &&
-                       item.address == state.row().address;
-            });
-        if (leaving) {
+        if (leaving.contains(state.row().address)) {
             state.mark_leaving(now);
         }
     });
@@ -212,7 +215,7 @@
         return;
     }
     next_confirmation_ = now + confirmation_interval;
-    for (const auto& address : membership_.heartbeat_targets(engine_, now)) {
+    for (const auto& address : membership_.heartbeat_targets(now)) {
         ask_for_table(address, now, out);
     }
 }
@@ -348,7 +351,7 @@
 }
 
 void coordinator::send_heartbeats(time_point now, actions& out) {
-    const auto targets = membership_.heartbeat_targets(engine_, now);
+    const auto targets = membership_.heartbeat_targets(now);
     if (targets.empty()) {
         return;
     }
@@ -373,7 +376,7 @@
     beat.sequence = ++heartbeat_sequence_;
     beat.table_version = table_.version();
     beat.table_age = table_age(now);
-    beat.members = membership_.digest(members_per_heartbeat, now);
+    beat.members = membership_.digest(members_per_heartbeat, engine_, now);
     dispatcher_.for_each_server([&](server_state& state) {
         if (state.in_flight() > 0 && beat.loads.size() < loads_per_heartbeat) {
             beat.loads.push_back({hash(state.row().key), state.in_flight(),
--- a/src/decisions/dispatcher.cpp
+++ b/src/decisions/dispatcher.cpp
@@ -35,22 +35,31 @@
     : options_(std::move(options)), engine_(seed) {}
 
 void dispatcher::apply_table(const table_view& table, time_point now) {
-    const auto names = table.service_names();
-    std::erase_if(services_, [&](const auto& item) {
-        return table.find_service(item.first) == nullptr &&
-               item.second.queue.empty() && item.second.running == 0;
-    });
-    for (const auto& name : names) {
-        const auto [found, added] = services_.try_emplace(name);
-        auto& entry = found->second;
-        if (added) {
-            entry.retries = {options_.retry_percent, retry_reserve};
-            entry.hedges = {options_.hedge_percent, hedge_reserve};
+    for (const auto& name : table.service_names()) {
+        apply_service(table, name, now);
+    }
+}
+
+void dispatcher::apply_service(const table_view& table, std::string_view name,
+                               time_point now) {
+    const auto* row = table.find_service(name);
+    if (row == nullptr) {
+        const auto gone = services_.find(name);
+        if (gone != services_.end() && gone->second.queue.empty() &&
+            gone->second.running == 0) {
+            services_.erase(gone);
         }
-        entry.row = *table.find_service(name);
-        entry.queue.set_limit(entry.row.queue_limit);
-        update_servers(entry, table, now);
+        return;
+    }
+    const auto [found, added] = services_.try_emplace(row->name);
+    auto& entry = found->second;
+    if (added) {
+        entry.retries = {options_.retry_percent, retry_reserve};
+        entry.hedges = {options_.hedge_percent, hedge_reserve};
     }
+    entry.row = *row;
+    entry.queue.set_limit(row->queue_limit);
+    update_servers(entry, table, now);
 }
 
 void dispatcher::update_servers(service_entry& entry, const table_view& table,
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -10,20 +10,10 @@
 constexpr std::size_t max_hearsay = 64;
 constexpr std::size_t max_members = 4096;
 
-// Moves `count` random elements to the front.
-void partial_shuffle(std::vector<std::string>& items, std::size_t count,
-                     random_engine& engine) {
-    for (std::size_t i = 0; i < count; ++i) {
-        boost::random::uniform_int_distribution<std::size_t> pick(
-            i, items.size() - 1);
-        std::swap(items[i], items[pick(engine)]);
-    }
-}
-
 } // namespace
 
 membership::membership(member own, membership_options options)
-    : own_(std::move(own)), options_(options) {}
+    : own_(std::move(own)), options_(options), last_target_(own_.id) {}
 
 void membership::set_seeds(std::span<const std::string> peer_addresses) {
     seeds_.assign(peer_addresses.begin(), peer_addresses.end());
@@ -59,8 +49,14 @@
 
 void membership::on_hearsay(std::span<const member> members, time_point now) {
     for (const auto& told : members) {
-        const bool known = told.id == own_.id || records_.contains(told.id) ||
-                           told.peer_address == own_.peer_address;
+        const auto heard = records_.find(told.id);
+        if (heard != records_.end()) {
+            heard->second.heard_at =
+                std::max(heard->second.heard_at, now - told.age);
+            continue;
+        }
+        const bool known =
+            told.id == own_.id || told.peer_address == own_.peer_address;
         const bool fresh = told.age <= options_.gone_after;
         if (known || !fresh || hearsay_.size() >= max_hearsay) {
             continue;
@@ -97,16 +93,32 @@
     return addresses;
 }
 
-std::vector<std::string> membership::heartbeat_targets(random_engine& engine,
-                                                       time_point now) {
+std::size_t membership::targets_per_round() const {
+    const auto reach_within = options_.suspect_after / 2;
+    const auto wanted =
+        (records_.size() *
+             static_cast<std::size_t>(options_.heartbeat_interval.count()) +
+         static_cast<std::size_t>(reach_within.count()) - 1) /
+        static_cast<std::size_t>(reach_within.count());
+    const auto count =
+        std::clamp(wanted, options_.fan_out,
+                   std::max(options_.fan_out, options_.max_fan_out));
+    return std::min(count, records_.size());
+}
+
+std::vector<std::string> membership::heartbeat_targets(time_point now) {
     expire(now);
     std::vector<std::string> targets;
-    for (const auto& [id, item] : records_) {
-        targets.push_back(item.info.peer_address);
+    const auto count = targets_per_round();
+    auto next = records_.upper_bound(last_target_);
+    while (targets.size() < count) {
+        if (next == records_.end()) {
+            next = records_.begin();
+        }
+        last_target_ = next->first;
+        targets.push_back(next->second.info.peer_address);
+        ++next;
     }
-    const auto count = std::min(options_.fan_out, targets.size());
-    partial_shuffle(targets, count, engine);
-    targets.resize(count);
     const auto unknown = strangers();
     const auto contacts = std::min(options_.fan_out, unknown.size());
     for (std::size_t i = 0; i < contacts; ++i) {
@@ -129,12 +141,16 @@
     return described(value, now).state == member_state::alive;
 }
 
-std::vector<member> membership::digest(std::size_t limit,
+std::vector<member> membership::digest(std::size_t limit, random_engine& engine,
                                        time_point now) const {
     auto known = members(now);
-    std::sort(known.begin(), known.end(),
-              [](const member& a, const member& b) { return a.age < b.age; });
-    known.resize(std::min(limit, known.size()));
+    const auto count = std::min(limit, known.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        boost::random::uniform_int_distribution<std::size_t> pick(
+            i, known.size() - 1);
+        std::swap(known[i], known[pick(engine)]);
+    }
+    known.resize(count);
     return known;
 }
 
--- a/src/decisions/table_view.cpp
+++ b/src/decisions/table_view.cpp
@@ -28,7 +28,7 @@
         raw_.insert_or_assign(row.key, row);
         try {
             apply_row(row);
-            result.changed = true;
+            result.changed.insert(row.key.substr(0, row.key.find('/')));
         } catch (const table_error& problem) {
             result.rejected.emplace_back(problem.what());
         }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -98,6 +98,8 @@
     options.dispatch.failure_domain = values.instance.failure_domain;
     options.members.suspect_after = milliseconds(values.peers.suspect_after);
     options.members.gone_after = milliseconds(values.peers.gone_after);
+    options.members.heartbeat_interval =
+        milliseconds(values.peers.heartbeat_interval);
     options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
     options.ledger.operations =
         static_cast<std::size_t>(values.limits.max_operations);
