Bound the cost of upkeep, table and heartbeats at the target's size

Cause: each tick looked at every service's queue, probes at every server ten times a second, a heartbeat spent 14 bytes a load and 85 a member, and raw rows kept a string for each cell's name.

--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -291,11 +291,12 @@
     std::map<std::string, call_id> claiming_; // key to the call that claims
     std::deque<journal_entry> journal_;
     std::map<incarnation, std::vector<server_load>> peer_loads_;
-    std::unordered_map<std::uint64_t, peer_load> load_sums_;
-    std::unordered_map<std::uint64_t, server_key> servers_by_hash_;
+    std::unordered_map<std::uint32_t, peer_load> load_sums_;
+    std::unordered_map<std::uint32_t, server_key> servers_by_hash_;
     std::uint64_t heartbeat_sequence_ = 0;
     time_point next_heartbeat_;
     time_point next_housekeeping_;
+    time_point next_probes_;
     time_point last_seen_;
     std::optional<time_point> confirmed_at_;
     std::optional<time_point> stopping_since_;
--- a/include/lacewingbeam/dispatcher.hpp
+++ b/include/lacewingbeam/dispatcher.hpp
@@ -227,6 +227,7 @@
     random_engine engine_;
     instance_share share_;
     std::map<std::string, service_entry, std::less<>> services_;
+    std::set<std::string> with_queue_; // services that may have waiting calls
     std::map<call_id, call_entry> calls_;
     std::map<attempt_id, attempt_entry> attempts_;
     std::set<std::pair<time_point, call_id>> checks_;
--- a/include/lacewingbeam/membership.hpp
+++ b/include/lacewingbeam/membership.hpp
@@ -30,8 +30,8 @@
     duration suspect_after = std::chrono::seconds(3);
     duration gone_after = std::chrono::seconds(15);
     duration heartbeat_interval = std::chrono::milliseconds(500);
-    std::size_t fan_out = 4;      // members that get a heartbeat, at least
-    std::size_t max_fan_out = 16; // at most
+    std::size_t fan_out = 4;     // members that get a heartbeat, at least
+    std::size_t max_fan_out = 6; // at most
 };
 
 class membership {
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -15,11 +15,17 @@
 
 // The sender's own requests in flight at one backend server.
 struct server_load {
-    std::uint64_t server_hash = 0;
+    std::uint32_t server_hash = 0; // load_hash of its key
     unsigned in_flight = 0;
     unsigned long_in_flight = 0;
 };
 
+// Names a backend server in load reports. Two servers with one hash share
+// their counts, which only makes the estimate worse.
+inline std::uint32_t load_hash(const server_key& key) {
+    return static_cast<std::uint32_t>(hash(key));
+}
+
 // A backend server that is leaving, and how long ago that was last said.
 struct leaving_server {
     server_key key;
--- a/include/lacewingbeam/table.hpp
+++ b/include/lacewingbeam/table.hpp
@@ -135,12 +135,22 @@
         std::vector<server_row> servers;
     };
 
+    // A raw row with its cells in one text: tables are large and are
+    // only told on now and then.
+    struct packed_row {
+        std::uint64_t version = 0;
+        bool deleted = false;
+        std::string cells;
+    };
+
+    static packed_row pack(const raw_row& row);
+    static raw_row unpack(const std::string& key, const packed_row& row);
     void apply_row(const raw_row& row);
     void apply_service(const raw_row& row);
     void apply_server(const raw_row& row);
 
     std::uint64_t version_ = 0;
-    std::map<std::string, raw_row, std::less<>> raw_;
+    std::map<std::string, packed_row, std::less<>> raw_;
     std::map<std::string, service_entry, std::less<>> services_;
 };
 
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -6,18 +6,13 @@
 
 struct member {
   1: binary incarnation,
-  2: string peer_address,
-  3: string caller_address,
-  4: string failure_domain,
-  5: i16 state,
-  6: i32 age_ms,
-  7: string admin_address,
-}
-
-struct server_load {
-  1: i64 server_hash,
-  2: i16 in_flight,
-  3: i16 long_in_flight,
+  2: string ip,
+  3: i32 peer_port,
+  4: i32 caller_port,
+  5: i32 admin_port,
+  6: string failure_domain,
+  7: i16 state,
+  8: i32 age_ms,
 }
 
 struct leaving_server {
@@ -31,9 +26,12 @@
   2: i64 sequence,
   3: i64 table_version,
   4: i32 table_age_ms,
-  5: list<server_load> loads,
-  6: list<leaving_server> leaving,
-  7: list<member> members,
+  // Own requests in flight, three lists of one length.
+  5: list<i32> load_hashes,
+  6: list<i16> load_in_flight,
+  7: list<i16> load_long,
+  8: list<leaving_server> leaving,
+  9: list<member> members,
 }
 
 struct table_request {
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -1,5 +1,6 @@
 #include "wire_codec.hpp"
 
+#include "lacewingbeam/endpoint.hpp"
 #include "lacewingbeam/ticket.hpp"
 #include "messages_constants.h"
 #include "messages_types.h"
@@ -43,12 +44,26 @@
     return static_cast<unsigned>(std::max<std::int16_t>(value, 0));
 }
 
+std::int32_t port_of(std::string_view address) {
+    return parse_endpoint(address).value_or(endpoint{}).port;
+}
+
+std::string make_address(const std::string& ip, std::int32_t port) {
+    if (!is_ip_address(ip) || port < 1 ||
+        port > std::numeric_limits<std::uint16_t>::max()) {
+        throw wire_error("member without address");
+    }
+    return to_string(endpoint{ip, static_cast<std::uint16_t>(port)});
+}
+
 wire::member to_wire(const member& value) {
     wire::member out;
     out.incarnation.assign(value.id.bytes.begin(), value.id.bytes.end());
-    out.peer_address = value.peer_address;
-    out.caller_address = value.caller_address;
-    out.admin_address = value.admin_address;
+    const auto peer = parse_endpoint(value.peer_address).value_or(endpoint{});
+    out.ip = peer.ip;
+    out.peer_port = peer.port;
+    out.caller_port = port_of(value.caller_address);
+    out.admin_port = port_of(value.admin_address);
     out.failure_domain = value.failure_domain;
     out.state = static_cast<std::int16_t>(value.state);
     out.age_ms = clamp_ms(value.age);
@@ -62,9 +77,9 @@
     }
     std::copy(value.incarnation.begin(), value.incarnation.end(),
               out.id.bytes.begin());
-    out.peer_address = value.peer_address;
-    out.caller_address = value.caller_address;
-    out.admin_address = value.admin_address;
+    out.peer_address = make_address(value.ip, value.peer_port);
+    out.caller_address = make_address(value.ip, value.caller_port);
+    out.admin_address = make_address(value.ip, value.admin_port);
     out.failure_domain = value.failure_domain;
     const auto last = static_cast<std::int16_t>(member_state::suspected);
     if (value.state < 0 || value.state > last) {
@@ -110,11 +125,10 @@
         beat.table_version = static_cast<std::int64_t>(value.table_version);
         beat.table_age_ms = clamp_ms(value.table_age);
         for (const auto& item : value.loads) {
-            wire::server_load load;
-            load.server_hash = static_cast<std::int64_t>(item.server_hash);
-            load.in_flight = clamp_count(item.in_flight);
-            load.long_in_flight = clamp_count(item.long_in_flight);
-            beat.loads.push_back(load);
+            beat.load_hashes.push_back(
+                static_cast<std::int32_t>(item.server_hash));
+            beat.load_in_flight.push_back(clamp_count(item.in_flight));
+            beat.load_long.push_back(clamp_count(item.long_in_flight));
         }
         for (const auto& item : value.leaving) {
             wire::leaving_server leaving;
@@ -154,10 +168,14 @@
     beat.sequence = static_cast<std::uint64_t>(value.sequence);
     beat.table_version = static_cast<std::uint64_t>(value.table_version);
     beat.table_age = from_ms(value.table_age_ms);
-    for (const auto& item : value.loads) {
-        beat.loads.push_back({static_cast<std::uint64_t>(item.server_hash),
-                              from_count(item.in_flight),
-                              from_count(item.long_in_flight)});
+    if (value.load_in_flight.size() != value.load_hashes.size() ||
+        value.load_long.size() != value.load_hashes.size()) {
+        throw wire_error("load lists differ in length");
+    }
+    for (std::size_t i = 0; i < value.load_hashes.size(); ++i) {
+        beat.loads.push_back({static_cast<std::uint32_t>(value.load_hashes[i]),
+                              from_count(value.load_in_flight[i]),
+                              from_count(value.load_long[i])});
     }
     for (const auto& item : value.leaving) {
         beat.leaving.push_back(
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -62,7 +62,8 @@
       claims_(options_.own.id, claims_per_batch),
       mint_(options_.own.id, options_.key, options_.ticket_lifetime),
       writes_(options_.writes_per_second, options_.writes_per_second, now),
-      next_heartbeat_(now), next_housekeeping_(now), last_seen_(now) {}
+      next_heartbeat_(now), next_housekeeping_(now), next_probes_(now),
+      last_seen_(now) {}
 
 // Why no call for the service can be taken at present.
 std::optional<not_run_reason>
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -24,10 +24,13 @@
 
 constexpr duration housekeeping_interval = milliseconds(100);
 
+// How often backend servers are looked through for one to probe.
+constexpr duration probe_interval = seconds(1);
+
 // A backend server is probed only after this long without news of it.
 constexpr duration probe_after_silence = seconds(2);
 
-constexpr std::size_t members_per_heartbeat = 4;
+constexpr std::size_t members_per_heartbeat = 2;
 constexpr std::size_t leaving_per_heartbeat = 16;
 constexpr std::size_t loads_per_heartbeat = 64;
 constexpr std::size_t entries_per_journal_write = 50;
@@ -99,7 +102,7 @@
     for (const auto& name : services) {
         dispatcher_.apply_service(table_, name, now);
         for (const auto& row : table_.servers_of(name)) {
-            servers_by_hash_[hash(row.key)] = row.key;
+            servers_by_hash_[load_hash(row.key)] = row.key;
         }
     }
     next_heartbeat_ = std::min(next_heartbeat_, now);
@@ -292,9 +295,12 @@
         next_housekeeping_ = now + housekeeping_interval;
         ledger_.expire(now);
         expire_waiters(now, out);
-        pump_probes(now, out);
         pump_journal(now, out);
     }
+    if (now >= next_probes_) {
+        next_probes_ = now + probe_interval;
+        pump_probes(now, out);
+    }
     return out;
 }
 
@@ -379,7 +385,7 @@
     beat.members = membership_.digest(members_per_heartbeat, engine_, now);
     dispatcher_.for_each_server([&](server_state& state) {
         if (state.in_flight() > 0 && beat.loads.size() < loads_per_heartbeat) {
-            beat.loads.push_back({hash(state.row().key), state.in_flight(),
+            beat.loads.push_back({load_hash(state.row().key), state.in_flight(),
                                   state.long_in_flight()});
         }
         const auto age = state.leaving_age(now);
--- a/src/decisions/dispatcher.cpp
+++ b/src/decisions/dispatcher.cpp
@@ -148,6 +148,7 @@
         return;
     }
     waiting.waiting = true;
+    with_queue_.insert(entry.row.name);
     if (!first_in_line) {
         pump(entry, now, out);
     }
@@ -473,9 +474,14 @@
         checks_.erase(checks_.begin());
         check_call(id, now, out);
     }
-    for (auto& [name, entry] : services_) {
-        if (!entry.queue.empty()) {
-            pump(entry, now, out);
+    const auto names = with_queue_;
+    for (const auto& name : names) {
+        const auto found = services_.find(name);
+        if (found != services_.end()) {
+            pump(found->second, now, out);
+        }
+        if (found == services_.end() || found->second.queue.empty()) {
+            with_queue_.erase(name);
         }
     }
     return out;
--- a/src/decisions/table_view.cpp
+++ b/src/decisions/table_view.cpp
@@ -12,6 +12,14 @@
         [](const server_row& row, const server_key& k) { return row.key < k; });
 }
 
+bool has_zero_byte(const raw_row& row) {
+    return std::any_of(row.cells.begin(), row.cells.end(),
+                       [](const cell& item) {
+                           return item.name.find('\0') != std::string::npos ||
+                                  item.value.find('\0') != std::string::npos;
+                       });
+}
+
 } // namespace
 
 apply_result table_view::apply(std::span<const raw_row> rows,
@@ -25,7 +33,11 @@
         if (known != raw_.end() && known->second.version >= row.version) {
             continue;
         }
-        raw_.insert_or_assign(row.key, row);
+        if (has_zero_byte(row)) {
+            result.rejected.push_back("row " + row.key + ": has a zero byte");
+            continue;
+        }
+        raw_.insert_or_assign(row.key, pack(row));
         try {
             apply_row(row);
             result.changed.insert(row.key.substr(0, row.key.find('/')));
@@ -37,6 +49,35 @@
     return result;
 }
 
+// Names and values end with a zero byte, which no cell has.
+table_view::packed_row table_view::pack(const raw_row& row) {
+    packed_row packed{row.version, row.deleted, {}};
+    for (const auto& item : row.cells) {
+        packed.cells += item.name;
+        packed.cells += '\0';
+        packed.cells += item.value;
+        packed.cells += '\0';
+    }
+    packed.cells.shrink_to_fit();
+    return packed;
+}
+
+raw_row table_view::unpack(const std::string& key, const packed_row& row) {
+    raw_row unpacked{key, row.version, row.deleted, {}};
+    std::string_view left = row.cells;
+    const auto take = [&left] {
+        const auto end = left.find('\0');
+        std::string text(left.substr(0, end));
+        left.remove_prefix(end + 1);
+        return text;
+    };
+    while (!left.empty()) {
+        auto name = take();
+        unpacked.cells.push_back({std::move(name), take()});
+    }
+    return unpacked;
+}
+
 void table_view::apply_row(const raw_row& row) {
     if (is_server_key(row.key)) {
         apply_server(row);
@@ -88,7 +129,7 @@
     std::vector<raw_row> rows;
     for (const auto& [key, row] : raw_) {
         if (row.version > version) {
-            rows.push_back(row);
+            rows.push_back(unpack(key, row));
         }
     }
     return rows;
