Read and hand on large tables in parts

A whole table of 21,000 rows was one answer and one frame; parsing it left an instance with 64 MB resident.

--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -180,11 +180,13 @@
                           const std::optional<claim>& row, time_point now);
     actions on_claim_read_failed(const std::string& key, time_point now);
 
-    // The table and the instance list. `asked_at` is when the read was sent.
-    // Returns a message for each row that could not be read.
+    // The table and the instance list. `asked_at` is when the read was sent;
+    // nothing if newer rows are left to read. Returns a message for each row
+    // that could not be read.
     std::vector<std::string> on_table(std::span<const raw_row> rows,
                                       std::uint64_t version,
-                                      time_point asked_at, time_point now);
+                                      std::optional<time_point> asked_at,
+                                      time_point now);
     void on_platform_failed(time_point now);
     void on_instance_list(std::span<const listed_instance> list,
                           time_point now);
@@ -265,7 +267,10 @@
                             time_point now);
     void ask_for_table(const std::string& peer_address, time_point now,
                        actions& out);
-    void on_table_rows(const table_rows& rows, time_point now);
+    void on_table_rows(const std::string& from, const table_rows& rows,
+                       time_point now, actions& out);
+    table_rows make_table_rows(const table_request& request,
+                               time_point now) const;
     void confirm_after_pause(time_point now, actions& out);
     duration table_age(time_point now) const;
 
@@ -300,8 +305,14 @@
     time_point last_seen_;
     std::optional<time_point> confirmed_at_;
     std::optional<time_point> stopping_since_;
-    // Table requests under way: number and time of sending.
-    std::deque<std::pair<std::uint64_t, time_point>> requests_;
+    // A table request under way.
+    struct sent_request {
+        std::uint64_t number = 0;
+        std::string peer_address;
+        time_point sent_at;
+    };
+
+    std::deque<sent_request> requests_;
     std::uint64_t next_request_ = 1;
     time_point next_confirmation_;
     bool woke_up_ = false; // after a pause, nothing was confirmed yet
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -53,9 +53,10 @@
 // Answers table_request.
 struct table_rows {
     std::uint64_t request_number = 0;
-    std::uint64_t table_version = 0;
+    std::uint64_t table_version = 0; // of the last row if there are more
     duration age{};
     std::vector<raw_row> rows;
+    bool more = false; // newer rows are left
 };
 
 using peer_message = std::variant<heartbeat, table_request, table_rows>;
--- a/include/lacewingbeam/table.hpp
+++ b/include/lacewingbeam/table.hpp
@@ -114,8 +114,10 @@
 
     std::uint64_t version() const { return version_; }
 
-    // Rows changed after `version`, tombstones included.
-    std::vector<raw_row> rows_after(std::uint64_t version) const;
+    // The first `limit` rows changed after `version` in order of version,
+    // tombstones included.
+    std::vector<raw_row> rows_after(std::uint64_t version,
+                                    std::size_t limit) const;
 
     // Null if the service is unknown.
     const service_row* find_service(std::string_view name) const;
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -56,6 +56,7 @@
   2: i32 age_ms,
   3: list<row> rows,
   4: i64 request_number,
+  5: bool more,
 }
 
 struct peer_message {
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -14,6 +14,7 @@
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
 constexpr std::size_t max_connections = 16;
+constexpr std::size_t rows_per_page = 1000;
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 
 raw_row read_json_row(const json& value) {
@@ -49,6 +50,7 @@
     const auto value = json::parse(body);
     table_page page;
     page.version = value.at("version").get<std::uint64_t>();
+    page.more = value.value("more", false);
     for (const auto& item : value.at("rows")) {
         page.rows.push_back(read_json_row(item));
     }
@@ -142,7 +144,8 @@
     std::string_view table, std::uint64_t after_version,
     const sigc::slot<void(const std::optional<table_page>&)>& done) {
     const auto target = "/v1/tables/" + std::string(table) +
-                        "/rows?after=" + std::to_string(after_version);
+                        "/rows?after=" + std::to_string(after_version) +
+                        "&limit=" + std::to_string(rows_per_page);
     request(EVHTTP_REQ_GET, target, {}, [done](const answer& given) {
         std::optional<table_page> page;
         if (given.status == status_ok) {
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -23,8 +23,9 @@
 
 // Rows of a table that changed after some version.
 struct table_page {
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; // of the last row if there are more
     std::vector<raw_row> rows;
+    bool more = false;
 };
 
 // One row write of a transaction.
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -155,6 +155,7 @@
         rows.table_version = static_cast<std::int64_t>(value.table_version);
         rows.age_ms = clamp_ms(value.age);
         rows.request_number = static_cast<std::int64_t>(value.request_number);
+        rows.more = value.more;
         for (const auto& item : value.rows) {
             rows.rows.push_back(to_wire(item));
         }
@@ -192,6 +193,7 @@
     rows.table_version = static_cast<std::uint64_t>(value.table_version);
     rows.age = from_ms(value.age_ms);
     rows.request_number = static_cast<std::uint64_t>(value.request_number);
+    rows.more = value.more;
     for (const auto& item : value.rows) {
         rows.rows.push_back(from_wire(item));
     }
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -44,6 +44,7 @@
 // How often peers are asked for the table after a pause.
 constexpr duration confirmation_interval = milliseconds(200);
 constexpr std::size_t max_table_requests = 64;
+constexpr std::size_t rows_per_message = 1000;
 
 constexpr duration overdue_wait = milliseconds(100);
 constexpr duration still_running_retry_after = milliseconds(500);
@@ -64,7 +65,7 @@
 }
 
 bool coordinator::is_unconfirmed(time_point now) const {
-    if (table_.version() == 0) {
+    if (!confirmed_at_) {
         return true;
     }
     return table_age(now) > max_table_age &&
@@ -81,10 +82,9 @@
     }
 }
 
-std::vector<std::string> coordinator::on_table(std::span<const raw_row> rows,
-                                               std::uint64_t version,
-                                               time_point asked_at,
-                                               time_point now) {
+std::vector<std::string>
+coordinator::on_table(std::span<const raw_row> rows, std::uint64_t version,
+                      std::optional<time_point> asked_at, time_point now) {
     observe(now);
     if (version < table_.version()) {
         return {};
@@ -93,7 +93,9 @@
     if (!result.changed.empty()) {
         after_table_change(result.changed, now);
     }
-    confirm_table(asked_at);
+    if (asked_at) {
+        confirm_table(*asked_at);
+    }
     return std::move(result.rejected);
 }
 
@@ -179,38 +181,54 @@
         if (is_unconfirmed(now)) {
             return out;
         }
-        out.emplace_back(send_message{
-            from, table_rows{request->number, table_.version(), table_age(now),
-                             table_.rows_after(request->have_version)}});
+        out.emplace_back(send_message{from, make_table_rows(*request, now)});
     } else {
-        on_table_rows(std::get<table_rows>(message), now);
+        on_table_rows(from, std::get<table_rows>(message), now, out);
     }
     return out;
 }
 
+table_rows coordinator::make_table_rows(const table_request& request,
+                                        time_point now) const {
+    table_rows answer;
+    answer.request_number = request.number;
+    answer.age = table_age(now);
+    answer.rows = table_.rows_after(request.have_version, rows_per_message);
+    answer.more = answer.rows.size() == rows_per_message;
+    answer.table_version =
+        answer.more ? answer.rows.back().version : table_.version();
+    return answer;
+}
+
 void coordinator::ask_for_table(const std::string& peer_address, time_point now,
                                 actions& out) {
     if (requests_.size() >= max_table_requests) {
         requests_.pop_front();
     }
-    requests_.emplace_back(next_request_, now);
+    requests_.push_back({next_request_, peer_address, now});
     out.emplace_back(send_message{
         peer_address, table_request{table_.version(), next_request_++}});
 }
 
 // The answer counts as of the moment of the request: it may have waited in a
 // buffer while this process was paused.
-void coordinator::on_table_rows(const table_rows& rows, time_point now) {
+void coordinator::on_table_rows(const std::string& from, const table_rows& rows,
+                                time_point now, actions& out) {
     const auto request =
         std::find_if(requests_.begin(), requests_.end(), [&](const auto& item) {
-            return item.first == rows.request_number;
+            return item.number == rows.request_number;
         });
     if (request == requests_.end()) {
         return;
     }
-    const auto asked_at = request->second;
+    const auto asked = *request;
     requests_.erase(request);
-    on_table(rows.rows, rows.table_version, asked_at - rows.age, now);
+    if (rows.more) {
+        on_table(rows.rows, rows.table_version, std::nullopt, now);
+        ask_for_table(from.empty() ? asked.peer_address : from, now, out);
+        return;
+    }
+    on_table(rows.rows, rows.table_version, asked.sent_at - rows.age, now);
 }
 
 void coordinator::confirm_after_pause(time_point now, actions& out) {
--- a/src/decisions/table_view.cpp
+++ b/src/decisions/table_view.cpp
@@ -125,13 +125,24 @@
     }
 }
 
-std::vector<raw_row> table_view::rows_after(std::uint64_t version) const {
-    std::vector<raw_row> rows;
-    for (const auto& [key, row] : raw_) {
-        if (row.version > version) {
-            rows.push_back(unpack(key, row));
+std::vector<raw_row> table_view::rows_after(std::uint64_t version,
+                                            std::size_t limit) const {
+    using entry = decltype(raw_)::const_pointer;
+    std::vector<entry> newer;
+    for (const auto& item : raw_) {
+        if (item.second.version > version) {
+            newer.push_back(&item);
         }
     }
+    std::sort(newer.begin(), newer.end(), [](entry a, entry b) {
+        return a->second.version < b->second.version;
+    });
+    newer.resize(std::min(limit, newer.size()));
+    std::vector<raw_row> rows;
+    rows.reserve(newer.size());
+    for (const auto* item : newer) {
+        rows.push_back(unpack(item->first, item->second));
+    }
     return rows;
 }
 
--- a/src/entry/platform_sync.cpp
+++ b/src/entry/platform_sync.cpp
@@ -101,8 +101,11 @@
                 return;
             }
             const auto before = decisions_.table().version();
+            const auto shown_at = page->more
+                                      ? std::optional<time_point>()
+                                      : std::optional<time_point>(asked_at);
             const auto problems = decisions_.on_table(page->rows, page->version,
-                                                      asked_at, loop_.now());
+                                                      shown_at, loop_.now());
             for (const auto& problem : problems) {
                 log_event(event_number::table_row_rejected,
                           {{"problem", problem}});
@@ -112,6 +115,9 @@
                           {{"version", std::to_string(page->version)},
                            {"rows", std::to_string(page->rows.size())}});
             }
+            if (page->more) {
+                poll_table();
+            }
         });
 }
 
--- a/src/tool/session.cpp
+++ b/src/tool/session.cpp
@@ -1,7 +1,6 @@
 #include "session.hpp"
 
-#include <algorithm>
-#include <memory>
+#include <map>
 
 namespace lacewingbeam {
 
@@ -36,8 +35,28 @@
 }
 
 std::vector<raw_row> tool_session::read_table() {
+    std::map<std::string, raw_row> by_key;
+    std::uint64_t version = 0;
+    for (bool more = true; more;) {
+        auto page = read_page(version);
+        for (auto& row : page.rows) {
+            by_key.insert_or_assign(row.key, std::move(row));
+        }
+        version = page.version;
+        more = page.more;
+    }
+    std::vector<raw_row> rows;
+    for (auto& [key, row] : by_key) {
+        if (!row.deleted) {
+            rows.push_back(std::move(row));
+        }
+    }
+    return rows;
+}
+
+table_page tool_session::read_page(std::uint64_t after_version) {
     std::optional<table_page> page;
-    platform().read_rows(services_table, 0,
+    platform().read_rows(services_table, after_version,
                          [&](const std::optional<table_page>& got) {
                              page = got;
                              loop_.stop();
@@ -46,10 +65,7 @@
     if (!page) {
         throw unreachable_error("the platform did not answer; nothing changed");
     }
-    std::erase_if(page->rows, [](const raw_row& row) { return row.deleted; });
-    std::sort(page->rows.begin(), page->rows.end(),
-              [](const raw_row& a, const raw_row& b) { return a.key < b.key; });
-    return std::move(page->rows);
+    return std::move(*page);
 }
 
 std::optional<raw_row> tool_session::read_row(std::string_view table,
--- a/src/tool/session.hpp
+++ b/src/tool/session.hpp
@@ -46,6 +46,7 @@
 
 private:
     platform_client& platform();
+    table_page read_page(std::uint64_t after_version);
     void wait();
 
     event_loop loop_;
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -185,18 +185,30 @@
     ++counts_.reads;
     const auto after_text = request->query("after");
     const auto after = after_text.empty() ? 0 : std::stoull(after_text);
-    json rows = json::array();
+    const auto limit_text = request->query("limit");
+    const auto limit = limit_text.empty() ? SIZE_MAX : std::stoull(limit_text);
     std::uint64_t version = 0;
+    std::map<std::uint64_t, json> newer; // by version
     const auto found = readable().find(name);
     if (found != readable().end()) {
         version = found->second.version;
         for (const auto& [key, value] : found->second.rows) {
             if (value.version > after) {
-                rows.push_back(describe(key, value));
+                newer.emplace(value.version, describe(key, value));
             }
         }
     }
-    answer(request, ok, {{"version", version}, {"rows", std::move(rows)}});
+    json rows = json::array();
+    const bool more = newer.size() > limit;
+    for (auto& [row_version, row] : newer) {
+        if (rows.size() >= limit) {
+            break;
+        }
+        rows.push_back(std::move(row));
+        version = more ? row_version : version;
+    }
+    answer(request, ok,
+           {{"version", version}, {"more", more}, {"rows", std::move(rows)}});
 }
 
 void platform::read_row(const request_ptr& request, const std::string& name) {
--- a/test/unit/operation_test.cpp
+++ b/test/unit/operation_test.cpp
@@ -1,5 +1,6 @@
 #include "history.hpp"
 #include "lacewingbeam/claim_book.hpp"
+#include "lacewingbeam/coordinator.hpp"
 #include "lacewingbeam/membership.hpp"
 #include "lacewingbeam/operation_ledger.hpp"
 #include "lacewingbeam/table.hpp"
@@ -302,7 +303,7 @@
     const std::vector<raw_row> removal{{"svc/a", 3, true, {}}};
     table.apply(removal, 3);
     cr_assert(table.servers_of("svc").empty());
-    cr_assert_eq(table.rows_after(2).size(), 1);
+    cr_assert_eq(table.rows_after(2, 10).size(), 1);
 }
 
 Test(service_row, methods_decide_unless_the_table_does) {
@@ -381,3 +382,34 @@
     history.ran({start + seconds(6), "read", "a", 1});
     cr_assert_eq(history.violations(1, seconds(5)).size(), 3);
 }
+
+Test(coordinator, large_table_is_taken_from_a_peer_in_parts) {
+    coordinator_options options;
+    options.key = key;
+    options.own = make_member(1, "10.0.0.1");
+    coordinator source(options, start);
+    std::vector<raw_row> rows;
+    for (std::uint64_t i = 1; i <= 2500; ++i) {
+        rows.push_back(make_row("svc" + std::to_string(i), i, {}));
+    }
+    source.on_table(rows, rows.size(), start, start);
+    options.own = make_member(2, "10.0.0.2");
+    coordinator fresh(options, start);
+    heartbeat beat;
+    beat.sender = make_member(1, "10.0.0.1");
+    beat.sequence = 1;
+    beat.table_version = rows.size();
+    auto asked = fresh.on_message("10.0.0.1:7000", beat, start);
+    int parts = 0;
+    while (!asked.empty()) {
+        cr_assert_not(fresh.status(start).ready);
+        const auto& request = std::get<send_message>(asked.at(0)).message;
+        const auto answer = source.on_message("10.0.0.2:7000", request, start);
+        const auto& part = std::get<send_message>(answer.at(0)).message;
+        asked = fresh.on_message("10.0.0.1:7000", part, start);
+        ++parts;
+    }
+    cr_assert_eq(parts, 3);
+    cr_assert(fresh.status(start).ready);
+    cr_assert_eq(fresh.table().version(), 2500);
+}
