--- a/bench/load_generator.cpp
+++ b/bench/load_generator.cpp
@@ -67,7 +67,8 @@
     auto& open = open_[number];
     open.plan = &call;
     open.target = options_.targets[number % options_.targets.size()];
-    open.operation = options_.operation_prefix + std::to_string(number) + ";";
+    open.operation = options_.operation_prefix + kind.name + "-" +
+                     std::to_string(number) + ";";
     ++report_.at(call.phase, call.work_class).sent;
     http_request request;
     request.method = parse_method(kind.method).value_or(EVHTTP_REQ_GET);
@@ -81,6 +82,9 @@
             tickets.pop_front();
         }
     }
+    if (kind.keyed) {
+        request.headers.push_back({"idempotency-key", open.operation});
+    }
     if (request.method == EVHTTP_REQ_POST) {
         request.body = open.operation;
     }
@@ -130,6 +134,7 @@
         cell.wrong += own ? 0 : 1;
     } else if (verdict.starts_with("not_run")) {
         cell.refused.add(latency);
+        report_.add_not_run(call.operation);
     }
     open_.erase(found);
 }
--- a/bench/load_plan.cpp
+++ b/bench/load_plan.cpp
@@ -85,12 +85,13 @@
 work_class parse_class(std::string_view text) {
     const auto parts = split(text, ':');
     constexpr std::size_t plain_parts = 6;
-    const bool ticketed =
-        parts.size() == plain_parts + 1 && parts.back() == "ticket";
-    if (parts.size() != plain_parts && !ticketed) {
+    const bool marked = parts.size() == plain_parts + 1;
+    const bool ticketed = marked && parts.back() == "ticket";
+    const bool keyed = marked && parts.back() == "key";
+    if (parts.size() != plain_parts && !ticketed && !keyed) {
         throw error("\"" + std::string(text) +
                     "\" is not of the form "
-                    "name:share:METHOD:/path:work:bytes[:ticket]");
+                    "name:share:METHOD:/path:work:bytes[:ticket|:key]");
     }
     work_class parsed;
     parsed.name = parts[0];
@@ -100,6 +101,7 @@
     parsed.mean_work = parse_duration(parts[4]);
     parsed.answer_bytes = static_cast<std::size_t>(parse_number(parts[5]));
     parsed.ticketed = ticketed;
+    parsed.keyed = keyed;
     return parsed;
 }
 
--- a/bench/load_plan.hpp
+++ b/bench/load_plan.hpp
@@ -27,6 +27,7 @@
     duration mean_work{}; // exponentially distributed; 0: as in target
     std::size_t answer_bytes = 16;
     bool ticketed = false; // bears a ticket of an earlier answer
+    bool keyed = false;    // bears an idempotency key
 };
 
 struct planned_call {
@@ -45,8 +46,8 @@
 // Reads "steady:10s@200" or "a:5s@200,b:2s@600". Throws error.
 std::vector<phase> parse_phases(std::string_view text);
 
-// Reads "short:0.95:GET:/status/x:5ms:16" and such; a further ":ticket"
-// makes the calls bear tickets. Throws error.
+// Reads "short:0.95:GET:/status/x:5ms:16" and such; a further ":ticket" or
+// ":key" makes the calls bear tickets or keys. Throws error.
 work_class parse_class(std::string_view text);
 
 // Poisson arrivals for the phases and classes.
--- a/bench/load_report.cpp
+++ b/bench/load_report.cpp
@@ -64,7 +64,7 @@
                 {"refused_p99_ms", cell.refused.quantile(0.99)}};
         }
     }
-    return {{"phases", std::move(phases)}};
+    return {{"phases", std::move(phases)}, {"not_run_operations", not_run_}};
 }
 
 } // namespace lacewingbeam::bench
--- a/bench/load_report.hpp
+++ b/bench/load_report.hpp
@@ -50,12 +50,18 @@
 
     class_result& at(std::size_t phase, std::size_t work_class);
 
-    // {"phases":{NAME:{CLASS:{...}}}}.
+    // An operation that its caller was told did not run.
+    void add_not_run(const std::string& operation) {
+        not_run_.push_back(operation);
+    }
+
+    // {"phases":{NAME:{CLASS:{...}}},"not_run_operations":[...]}.
     nlohmann::json to_json() const;
 
 private:
     const load_plan& plan_;
     std::vector<class_result> cells_;
+    std::vector<std::string> not_run_;
 };
 
 } // namespace lacewingbeam::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -29,7 +29,7 @@
                                         "", "name:10s@200,...", line);
     TCLAP::MultiArg<std::string> classes(
         "c", "class", "kind of call", true,
-        "name:share:METHOD:/path:work:bytes[:ticket]", line);
+        "name:share:METHOD:/path:work:bytes[:ticket|:key]", line);
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed of the plan", false,
                                         1, "SEED", line);
     TCLAP::ValueArg<std::string> prefix(
--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -188,6 +188,10 @@
                                       std::optional<time_point> asked_at,
                                       time_point now);
     void on_platform_failed(time_point now);
+
+    // True if this instance reads the platform itself: in a failure domain
+    // with many instances only a few do, as long as peers tell the table.
+    bool reads_platform(time_point now) const;
     void on_instance_list(std::span<const listed_instance> list,
                           time_point now);
 
--- a/include/lacewingbeam/membership.hpp
+++ b/include/lacewingbeam/membership.hpp
@@ -74,6 +74,11 @@
     // leaving nor suspected.
     std::size_t active_count(time_point now) const;
 
+    // Active instances of this instance's failure domain, and its position
+    // among them in order of incarnation.
+    std::size_t domain_count(time_point now) const;
+    std::size_t domain_rank(time_point now) const;
+
     // Position of this instance among the active ones, in order of
     // incarnation.
     std::size_t own_rank(time_point now) const;
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -46,6 +46,11 @@
 constexpr std::size_t max_table_requests = 64;
 constexpr std::size_t rows_per_message = 1000;
 
+// Up to so many instances of a failure domain all read the platform; of more
+// only the chosen ones do.
+constexpr std::size_t max_domain_readers = 8;
+constexpr std::size_t chosen_domain_readers = 4;
+
 constexpr duration overdue_wait = milliseconds(100);
 constexpr duration still_running_retry_after = milliseconds(500);
 
@@ -119,6 +124,12 @@
     }
 }
 
+bool coordinator::reads_platform(time_point now) const {
+    return table_age(now) > max_table_age ||
+           membership_.domain_count(now) <= max_domain_readers ||
+           membership_.domain_rank(now) < chosen_domain_readers;
+}
+
 void coordinator::on_instance_list(std::span<const listed_instance> list,
                                    time_point now) {
     observe(now);
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -193,6 +193,24 @@
     return rank;
 }
 
+std::size_t membership::domain_count(time_point now) const {
+    std::size_t count = 1;
+    for (const auto& [id, item] : records_) {
+        const bool same = item.info.failure_domain == own_.failure_domain;
+        count += same && is_active(item, now) ? 1 : 0;
+    }
+    return count;
+}
+
+std::size_t membership::domain_rank(time_point now) const {
+    std::size_t rank = 0;
+    for (const auto& [id, item] : records_) {
+        const bool same = item.info.failure_domain == own_.failure_domain;
+        rank += same && id < own_.id && is_active(item, now) ? 1 : 0;
+    }
+    return rank;
+}
+
 bool membership::cut_off(time_point now) const {
     std::size_t known = 1;
     std::size_t heard = 1;
--- a/src/entry/platform_sync.cpp
+++ b/src/entry/platform_sync.cpp
@@ -80,8 +80,10 @@
 }
 
 void platform_sync::poll() {
-    poll_table();
-    poll_instances();
+    if (decisions_.reads_platform(loop_.now())) {
+        poll_table();
+        poll_instances();
+    }
 }
 
 void platform_sync::poll_table() {
--- a/test/unit/operation_test.cpp
+++ b/test/unit/operation_test.cpp
@@ -383,6 +383,27 @@
     cr_assert_eq(history.violations(1, seconds(5)).size(), 3);
 }
 
+Test(coordinator, many_instances_of_a_domain_have_few_readers) {
+    unsigned readers = 0;
+    for (std::uint64_t own = 1; own <= 37; ++own) {
+        coordinator_options options;
+        options.key = key;
+        options.own = make_member(own, "10.0.0." + std::to_string(own));
+        coordinator one(options, start);
+        cr_assert(one.reads_platform(start), "alone it must read");
+        one.on_table({}, 1, start, start);
+        for (std::uint64_t peer = 1; peer <= 37; ++peer) {
+            heartbeat beat;
+            beat.sender = make_member(peer, "10.0.0." + std::to_string(peer));
+            beat.sequence = 1;
+            one.on_message("", beat, start);
+        }
+        readers += one.reads_platform(start) ? 1 : 0;
+        cr_assert(one.reads_platform(start + seconds(4)));
+    }
+    cr_assert_eq(readers, 4);
+}
+
 Test(coordinator, large_table_is_taken_from_a_peer_in_parts) {
     coordinator_options options;
     options.key = key;
