--- a/src/decisions/dispatcher.cpp
+++ b/src/decisions/dispatcher.cpp
@@ -12,9 +12,6 @@
 constexpr double retry_reserve = 20;
 constexpr double hedge_reserve = 5;
 constexpr double latency_gain = 0.1;
-constexpr double hedge_deviations = 4;
-constexpr duration min_hedge_delay = milliseconds(10);
-constexpr std::size_t kept_choices = 16;
 
 // Advice when nothing better is known.
 constexpr duration default_retry_after = milliseconds(200);
@@ -83,12 +80,6 @@
     entry.servers = std::move(updated);
 }
 
-unsigned dispatcher::limit_share(const service_entry& entry) const {
-    const auto whole = entry.row.limit / share_.instances;
-    const bool extra = share_.rank < entry.row.limit % share_.instances;
-    return static_cast<unsigned>(whole + (extra ? 1 : 0));
-}
-
 duration dispatcher::expected_wait(const service_entry& entry) const {
     double slots = 0;
     for (const auto& state : entry.servers) {
@@ -154,122 +145,6 @@
     }
 }
 
-bool dispatcher::has_room(const server_state& state, const call& info,
-                          time_point now) const {
-    const auto& row = state.row();
-    if (row.weight <= 0 || state.is_leaving(now) ||
-        state.in_flight() >= row.slots) {
-        return false;
-    }
-    if (!std::holds_alternative<load_aware>(options_.policy)) {
-        return true;
-    }
-    if (state.estimated_load(now) >= row.slots) {
-        return false;
-    }
-    const unsigned long_slots = std::max(1U, row.slots - 1);
-    return info.length == work_length::short_work ||
-           state.estimated_long(now) < long_slots;
-}
-
-std::vector<candidate> dispatcher::candidates_for(service_entry& entry,
-                                                  const call_entry& waiting,
-                                                  bool ignore_tried,
-                                                  time_point now) {
-    std::vector<candidate> list;
-    for (std::size_t i = 0; i < entry.servers.size(); ++i) {
-        const auto& state = entry.servers[i];
-        const auto& row = state.row();
-        const bool tried =
-            std::find(waiting.tried.begin(), waiting.tried.end(),
-                      row.key.backend_server) != waiting.tried.end();
-        if ((tried && !ignore_tried) || !has_room(state, waiting.info, now)) {
-            continue;
-        }
-        candidate item;
-        item.index = i;
-        item.weight = row.weight;
-        item.slots = row.slots;
-        item.own_in_flight = state.in_flight();
-        item.load = state.estimated_load(now);
-        item.latency_ms = state.latency_ms();
-        item.penalty = state.penalty(now);
-        item.own_failure_domain = row.failure_domain == options_.failure_domain;
-        list.push_back(item);
-    }
-    return list;
-}
-
-server_state* dispatcher::choose_server(service_entry& entry,
-                                        call_entry& waiting, time_point now) {
-    const bool tried_all = waiting.tried.size() >= entry.servers.size();
-    auto list = candidates_for(entry, waiting, tried_all, now);
-    const auto index = choose(options_.policy, list, engine_);
-    if (!index) {
-        return nullptr;
-    }
-    auto& chosen = entry.servers[*index];
-    if (entry.choices.size() >= kept_choices) {
-        entry.choices.erase(entry.choices.begin());
-    }
-    entry.choices.push_back({now, chosen.row().key, std::move(list)});
-    return &chosen;
-}
-
-bool dispatcher::place(service_entry& entry, call_entry& waiting, bool hedge,
-                       time_point now, actions& out) {
-    if (holding_ || waiting.info.deadline <= now) {
-        return false;
-    }
-    const bool first = waiting.running.empty();
-    if (first && entry.row.limit > 0 && entry.running >= limit_share(entry)) {
-        return false;
-    }
-    auto* state = choose_server(entry, waiting, now);
-    if (state == nullptr) {
-        return false;
-    }
-    const auto id = attempt_id{next_attempt_++};
-    const auto& row = state->row();
-    state->on_sent(waiting.info.length, now);
-    attempts_[id] = {waiting.info.id, row.key, now, hedge};
-    entry.running += first ? 1 : 0;
-    waiting.running.push_back(id);
-    waiting.tried.push_back(row.key.backend_server);
-    ++waiting.attempts;
-    const auto share =
-        std::max<std::size_t>(1, row.connections / share_.instances);
-    out.emplace_back(
-        start_attempt{waiting.info.id, id, row.key, row.address,
-                      waiting.info.deadline - now, static_cast<unsigned>(share),
-                      waiting.info.idempotent, waiting.info.record_answer});
-    schedule_check(waiting, next_check(entry, waiting, now));
-    return true;
-}
-
-void dispatcher::pump(service_entry& entry, time_point now, actions& out) {
-    bool short_blocked = false;
-    bool long_blocked = false;
-    for (const auto id : entry.queue.in_order()) {
-        if (short_blocked) {
-            return;
-        }
-        auto& waiting = calls_.at(id);
-        const bool is_long = waiting.info.length == work_length::long_work;
-        if (is_long && long_blocked) {
-            continue;
-        }
-        if (place(entry, waiting, false, now, out)) {
-            entry.queue.remove(id);
-            waiting.waiting = false;
-        } else if (is_long) {
-            long_blocked = true;
-        } else {
-            short_blocked = true;
-        }
-    }
-}
-
 dispatcher::actions dispatcher::on_head(attempt_id attempt, bool server_error,
                                         time_point now) {
     actions out;
@@ -449,24 +324,6 @@
     checks_.emplace(at, owner.info.id);
 }
 
-time_point dispatcher::next_check(const service_entry& entry,
-                                  const call_entry& owner,
-                                  time_point now) const {
-    const bool may_hedge = owner.info.idempotent && !owner.hedged &&
-                           owner.info.length == work_length::short_work &&
-                           entry.latency_ms > 0;
-    if (!may_hedge) {
-        return owner.info.deadline;
-    }
-    const double usual_ms =
-        entry.latency_ms + hedge_deviations * entry.deviation_ms;
-    const auto delay =
-        std::max(min_hedge_delay,
-                 std::chrono::duration_cast<duration>(
-                     std::chrono::duration<double, std::milli>(usual_ms)));
-    return std::min(owner.info.deadline, now + delay);
-}
-
 dispatcher::actions dispatcher::tick(time_point now) {
     actions out;
     while (!checks_.empty() && checks_.begin()->first <= now) {
@@ -521,16 +378,6 @@
     end_call(owner.info.id, outcome, wait, out);
 }
 
-bool dispatcher::try_hedge(service_entry& entry, call_entry& owner,
-                           time_point now, actions& out) {
-    owner.hedged = true;
-    if (owner.tried.size() >= entry.servers.size() ||
-        !entry.hedges.try_take()) {
-        return false;
-    }
-    return place(entry, owner, true, now, out);
-}
-
 dispatcher::actions dispatcher::refuse_waiting(not_run_reason reason) {
     actions out;
     for (auto& [name, entry] : services_) {
@@ -561,15 +408,6 @@
     return &*position;
 }
 
-std::vector<choice_record>
-dispatcher::recent_choices(std::string_view service) const {
-    const auto found = services_.find(service);
-    if (found == services_.end()) {
-        return {};
-    }
-    return found->second.choices;
-}
-
 std::size_t dispatcher::waiting() const {
     std::size_t count = 0;
     for (const auto& [name, entry] : services_) {
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -1,5 +1,7 @@
 #include "answers.hpp"
 
+#include "header_names.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace lacewingbeam {
@@ -89,4 +91,12 @@
     return answer;
 }
 
+bool is_inner_field(std::string_view name) {
+    return is_hop_by_hop(name) ||
+           equal_ignoring_case(name, header::load_metrics) ||
+           equal_ignoring_case(name, header::draining) ||
+           equal_ignoring_case(name, header::verdict) ||
+           equal_ignoring_case(name, header::next_ticket);
+}
+
 } // namespace lacewingbeam
--- a/src/entry/answers.hpp
+++ b/src/entry/answers.hpp
@@ -5,6 +5,7 @@
 #include "lacewingbeam/verdict.hpp"
 
 #include <string>
+#include <string_view>
 
 // The answers that an instance gives itself, as docs/INTERFACE.md lists
 // them.
@@ -22,6 +23,9 @@
 // An error as application/problem+json (RFC 9457) with the verdict in it.
 own_answer make_error(const verdict& outcome, duration retry_after);
 
+// Answer fields that end at an instance and are not passed on.
+bool is_inner_field(std::string_view name);
+
 } // namespace lacewingbeam
 
 #endif
--- /dev/null
+++ b/src/entry/call_attempts.cpp
@@ -0,0 +1,200 @@
+#include "answers.hpp"
+#include "call_gateway.hpp"
+#include "header_names.hpp"
+#include "load_report.hpp"
+
+// The part of the gateway that follows attempts at backend servers.
+namespace lacewingbeam {
+
+namespace {
+
+constexpr int first_server_error = 500;
+
+// A short answer is passed on once it is whole, so that one cut on its way
+// can still be fetched from another backend server.
+constexpr std::size_t spool_limit = 16384;
+
+attempt_result result_of(const exchange_failure& failure) {
+    if (!failure.bytes_sent) {
+        return attempt_refused{not_run_reason::connect_failed};
+    }
+    switch (failure.problem) {
+    case exchange_problem::malformed:
+        return attempt_lost{may_have_run_reason::answer_malformed};
+    case exchange_problem::truncated:
+        return attempt_lost{may_have_run_reason::answer_truncated};
+    case exchange_problem::stalled:
+        return attempt_lost{may_have_run_reason::answer_timeout};
+    default:
+        return attempt_lost{may_have_run_reason::connection_lost};
+    }
+}
+
+std::string_view result_name(const attempt_result& result) {
+    if (std::holds_alternative<attempt_completed>(result)) {
+        return "completed";
+    }
+    return std::holds_alternative<attempt_refused>(result) ? "refused" : "lost";
+}
+
+// A backend server's statement that it did not start the work.
+std::optional<not_run_reason> read_refusal(const http_answer_head& head) {
+    const auto text = find_header(head.headers, header::not_run);
+    if (!text) {
+        return std::nullopt;
+    }
+    if (*text == "shed") {
+        return not_run_reason::shed;
+    }
+    if (*text == "draining") {
+        return not_run_reason::draining;
+    }
+    if (*text == "cancelled") {
+        return not_run_reason::cancelled_before_start;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void call_gateway::on_head(attempt_id id, const http_answer_head& head) {
+    auto& attempt = attempts_.at(id);
+    attempt.head = head;
+    note_report(attempt);
+    const auto refusal = read_refusal(head);
+    if (refusal) {
+        attempt.discarding = true;
+        end_attempt(id, attempt_refused{*refusal});
+        return;
+    }
+    const auto& call = calls_.at(attempt.call);
+    const auto* service =
+        decisions_.table().find_service(call.request.arriving.service);
+    const bool is_long =
+        service != nullptr && service->length_of(call.request.arriving.method,
+                                                 call.request.arriving.path) ==
+                                  work_length::long_work;
+    const bool large =
+        head.content_length && *head.content_length > spool_limit;
+    if (is_long || large) {
+        report_head(id);
+    }
+}
+
+void call_gateway::on_body(attempt_id id, std::string_view piece) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end() || found->second.discarding) {
+        return;
+    }
+    auto& attempt = found->second;
+    if (attempt.recording) {
+        const bool fits = attempt.recorded.size() + piece.size() <=
+                          options_.max_recorded_answer;
+        attempt.recording = fits;
+        attempt.recorded += fits ? piece : std::string_view();
+    }
+    if (attempt.passing) {
+        const auto call = calls_.find(attempt.call);
+        if (call != calls_.end()) {
+            pass_on(call->second, attempt.exchange, piece);
+        }
+        return;
+    }
+    attempt.spooled += piece;
+    if (attempt.spooled.size() > spool_limit && !attempt.reported) {
+        report_head(id);
+    }
+}
+
+void call_gateway::on_end(attempt_id id) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return;
+    }
+    found->second.ended = true;
+    if (found->second.discarding) {
+        attempts_.erase(found);
+        return;
+    }
+    if (!found->second.reported) {
+        report_head(id);
+    }
+    end_attempt(id, attempt_completed{});
+}
+
+void call_gateway::on_failed(attempt_id id, const exchange_failure& failure) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return;
+    }
+    if (found->second.discarding) {
+        attempts_.erase(found);
+        return;
+    }
+    found->second.ended = true;
+    end_attempt(id, result_of(failure));
+}
+
+void call_gateway::report_head(attempt_id id) {
+    auto& attempt = attempts_.at(id);
+    attempt.reported = true;
+    const bool server_error = attempt.head.status >= first_server_error;
+    decide(decisions_.on_head(id, server_error, loop_.now()));
+}
+
+void call_gateway::end_attempt(attempt_id id, const attempt_result& result) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return; // cancelled while its head was reported
+    }
+    auto& attempt = found->second;
+    counts_.count_attempt(attempt.server.service, result_name(result));
+    record_span(attempt, std::string(result_name(result)));
+    std::optional<recorded_answer> answer;
+    const bool whole = std::holds_alternative<attempt_completed>(result);
+    if (whole && attempt.recording) {
+        answer = recorded_answer{attempt.head.status, {}, attempt.recorded};
+        for (const auto& field : attempt.head.headers) {
+            if (!is_inner_field(field.name)) {
+                answer->headers.push_back(field);
+            }
+        }
+    }
+    decide(decisions_.on_attempt_ended(id, result, std::move(answer),
+                                       loop_.now()));
+    const auto left = attempts_.find(id);
+    if (left != attempts_.end() && !left->second.discarding) {
+        attempts_.erase(left);
+    }
+}
+
+void call_gateway::note_report(const active_attempt& attempt) {
+    const auto text = find_header(attempt.head.headers, header::load_metrics);
+    const auto report =
+        text ? parse_load_header(*text) : std::optional<load_report>();
+    const bool draining =
+        find_header(attempt.head.headers, header::draining).has_value();
+    if (report || draining) {
+        decisions_.on_report(attempt.server, report.value_or(load_report{}),
+                             draining, loop_.now());
+    }
+}
+
+exchange_events call_gateway::make_events(attempt_id id) {
+    exchange_events events;
+    events.head = [this, id](const http_answer_head& head) {
+        on_head(id, head);
+    };
+    events.body = [this, id](std::string_view piece) {
+        on_body(id, piece);
+    };
+    events.end = [this, id] {
+        on_end(id);
+    };
+    events.failed = [this, id](const exchange_failure& failure) {
+        on_failed(id, failure);
+    };
+    return events;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/entry/call_forwarding.cpp
@@ -0,0 +1,107 @@
+#include "call_gateway.hpp"
+#include "forward_token.hpp"
+#include "header_names.hpp"
+
+// The part of the gateway that sends calls to other instances.
+namespace lacewingbeam {
+
+namespace {
+
+// Instances send each other few calls at a time.
+constexpr std::size_t connections_to_peer = 64;
+
+} // namespace
+
+void call_gateway::run(const forward_call& order) {
+    const auto found = calls_.find(order.call);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto& call = found->second;
+    http_request request;
+    request.method = call.request.outgoing.method;
+    request.target = call.request.target;
+    request.body = call.request.outgoing.body;
+    for (const auto& field : call.request.headers) {
+        if (!is_hop_by_hop(field.name) &&
+            !equal_ignoring_case(field.name, header::traceparent) &&
+            !equal_ignoring_case(field.name, header::timeout_ms)) {
+            request.headers.push_back(field);
+        }
+    }
+    const auto ms =
+        std::chrono::ceil<std::chrono::milliseconds>(order.time_left).count();
+    request.headers.push_back(
+        {std::string(header::timeout_ms), std::to_string(ms)});
+    request.headers.push_back(
+        {std::string(header::traceparent), to_traceparent(call.trace)});
+    request.headers.push_back(
+        {std::string(header::forwarded),
+         make_forward_token(order.owner, call.request.target, options_.key)});
+    const auto id = order.call;
+    exchange_events events;
+    events.head = [this, id](const http_answer_head& head) {
+        on_forward_head(id, head);
+    };
+    events.body = [this, id](std::string_view piece) {
+        const auto active = calls_.find(id);
+        if (active != calls_.end() && !active->second.forward_refused) {
+            pass_on(active->second, *active->second.forward, piece);
+        }
+    };
+    events.end = [this, id] {
+        on_forward_end(id, forward_completed{});
+    };
+    events.failed = [this, id](const exchange_failure& failure) {
+        if (failure.bytes_sent) {
+            on_forward_end(id, forward_lost{});
+        } else {
+            on_forward_end(id, forward_unreachable{});
+        }
+    };
+    const exchange_limits limits{connections_to_peer, options_.proven_alive};
+    call.forward =
+        pool_.start(order.caller_address, request, limits, std::move(events));
+}
+
+void call_gateway::on_forward_head(call_id id, const http_answer_head& head) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto& call = found->second;
+    if (find_header(head.headers, header::wrong_owner)) {
+        call.forward_refused = true;
+        return;
+    }
+    if (!call.incoming) {
+        return;
+    }
+    // The owner's answer is passed on as it is, verdict and ticket included.
+    header_list headers;
+    for (const auto& field : head.headers) {
+        if (!is_hop_by_hop(field.name)) {
+            headers.push_back(field);
+        }
+    }
+    if (head.content_length &&
+        call.request.outgoing.method != EVHTTP_REQ_HEAD) {
+        headers.push_back(
+            {"Content-Length", std::to_string(*head.content_length)});
+    }
+    call.incoming->start(head.status, headers);
+}
+
+void call_gateway::on_forward_end(call_id id, const forward_result& result) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    found->second.forward.reset();
+    const forward_result shown = found->second.forward_refused
+                                     ? forward_result{forward_refused{}}
+                                     : result;
+    decide(decisions_.on_forward_ended(id, shown, loop_.now()));
+}
+
+} // namespace lacewingbeam
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -2,11 +2,8 @@
 
 #include "../adapters/event_log.hpp"
 #include "answers.hpp"
-#include "forward_token.hpp"
 #include "header_names.hpp"
-#include "load_report.hpp"
 
-#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -17,67 +14,10 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr int status_misdirected = 421;
-constexpr int first_server_error = 500;
 
 constexpr std::string_view tickets_path = "/.lacewingbeam/tickets";
 constexpr unsigned max_tickets = 100;
 
-// A short answer is passed on once it is whole, so that one cut on its way
-// can still be fetched from another backend server.
-constexpr std::size_t spool_limit = 16384;
-
-// Instances send each other few calls at a time.
-constexpr std::size_t connections_to_peer = 64;
-
-attempt_result result_of(const exchange_failure& failure) {
-    if (!failure.bytes_sent) {
-        return attempt_refused{not_run_reason::connect_failed};
-    }
-    switch (failure.problem) {
-    case exchange_problem::malformed:
-        return attempt_lost{may_have_run_reason::answer_malformed};
-    case exchange_problem::truncated:
-        return attempt_lost{may_have_run_reason::answer_truncated};
-    case exchange_problem::stalled:
-        return attempt_lost{may_have_run_reason::answer_timeout};
-    default:
-        return attempt_lost{may_have_run_reason::connection_lost};
-    }
-}
-
-std::string_view result_name(const attempt_result& result) {
-    if (std::holds_alternative<attempt_completed>(result)) {
-        return "completed";
-    }
-    return std::holds_alternative<attempt_refused>(result) ? "refused" : "lost";
-}
-
-// A backend server's statement that it did not start the work.
-std::optional<not_run_reason> read_refusal(const http_answer_head& head) {
-    const auto text = find_header(head.headers, header::not_run);
-    if (!text) {
-        return std::nullopt;
-    }
-    if (*text == "shed") {
-        return not_run_reason::shed;
-    }
-    if (*text == "draining") {
-        return not_run_reason::draining;
-    }
-    if (*text == "cancelled") {
-        return not_run_reason::cancelled_before_start;
-    }
-    return std::nullopt;
-}
-
-bool is_inner_field(std::string_view name) {
-    return is_hop_by_hop(name) ||
-           equal_ignoring_case(name, header::load_metrics) ||
-           equal_ignoring_case(name, header::draining) ||
-           equal_ignoring_case(name, header::verdict) ||
-           equal_ignoring_case(name, header::next_ticket);
-}
-
 own_answer make_bad_request(const std::string& problem) {
     const verdict outcome = not_run{not_run_reason::bad_request};
     auto answer = make_error(outcome, duration::zero());
@@ -244,146 +184,6 @@
         pool_.start(order.address, request, limits, make_events(order.attempt));
 }
 
-exchange_events call_gateway::make_events(attempt_id id) {
-    exchange_events events;
-    events.head = [this, id](const http_answer_head& head) {
-        on_head(id, head);
-    };
-    events.body = [this, id](std::string_view piece) {
-        on_body(id, piece);
-    };
-    events.end = [this, id] {
-        on_end(id);
-    };
-    events.failed = [this, id](const exchange_failure& failure) {
-        on_failed(id, failure);
-    };
-    return events;
-}
-
-void call_gateway::note_report(const active_attempt& attempt) {
-    const auto text = find_header(attempt.head.headers, header::load_metrics);
-    const auto report =
-        text ? parse_load_header(*text) : std::optional<load_report>();
-    const bool draining =
-        find_header(attempt.head.headers, header::draining).has_value();
-    if (report || draining) {
-        decisions_.on_report(attempt.server, report.value_or(load_report{}),
-                             draining, loop_.now());
-    }
-}
-
-void call_gateway::on_head(attempt_id id, const http_answer_head& head) {
-    auto& attempt = attempts_.at(id);
-    attempt.head = head;
-    note_report(attempt);
-    const auto refusal = read_refusal(head);
-    if (refusal) {
-        attempt.discarding = true;
-        end_attempt(id, attempt_refused{*refusal});
-        return;
-    }
-    const auto& call = calls_.at(attempt.call);
-    const auto* service =
-        decisions_.table().find_service(call.request.arriving.service);
-    const bool is_long =
-        service != nullptr && service->length_of(call.request.arriving.method,
-                                                 call.request.arriving.path) ==
-                                  work_length::long_work;
-    const bool large =
-        head.content_length && *head.content_length > spool_limit;
-    if (is_long || large) {
-        report_head(id);
-    }
-}
-
-void call_gateway::on_body(attempt_id id, std::string_view piece) {
-    const auto found = attempts_.find(id);
-    if (found == attempts_.end() || found->second.discarding) {
-        return;
-    }
-    auto& attempt = found->second;
-    if (attempt.recording) {
-        const bool fits = attempt.recorded.size() + piece.size() <=
-                          options_.max_recorded_answer;
-        attempt.recording = fits;
-        attempt.recorded += fits ? piece : std::string_view();
-    }
-    if (attempt.passing) {
-        const auto call = calls_.find(attempt.call);
-        if (call != calls_.end()) {
-            pass_on(call->second, attempt.exchange, piece);
-        }
-        return;
-    }
-    attempt.spooled += piece;
-    if (attempt.spooled.size() > spool_limit && !attempt.reported) {
-        report_head(id);
-    }
-}
-
-void call_gateway::on_end(attempt_id id) {
-    const auto found = attempts_.find(id);
-    if (found == attempts_.end()) {
-        return;
-    }
-    found->second.ended = true;
-    if (found->second.discarding) {
-        attempts_.erase(found);
-        return;
-    }
-    if (!found->second.reported) {
-        report_head(id);
-    }
-    end_attempt(id, attempt_completed{});
-}
-
-void call_gateway::on_failed(attempt_id id, const exchange_failure& failure) {
-    const auto found = attempts_.find(id);
-    if (found == attempts_.end()) {
-        return;
-    }
-    if (found->second.discarding) {
-        attempts_.erase(found);
-        return;
-    }
-    found->second.ended = true;
-    end_attempt(id, result_of(failure));
-}
-
-void call_gateway::report_head(attempt_id id) {
-    auto& attempt = attempts_.at(id);
-    attempt.reported = true;
-    const bool server_error = attempt.head.status >= first_server_error;
-    decide(decisions_.on_head(id, server_error, loop_.now()));
-}
-
-void call_gateway::end_attempt(attempt_id id, const attempt_result& result) {
-    const auto found = attempts_.find(id);
-    if (found == attempts_.end()) {
-        return; // cancelled while its head was reported
-    }
-    auto& attempt = found->second;
-    counts_.count_attempt(attempt.server.service, result_name(result));
-    record_span(attempt, std::string(result_name(result)));
-    std::optional<recorded_answer> answer;
-    const bool whole = std::holds_alternative<attempt_completed>(result);
-    if (whole && attempt.recording) {
-        answer = recorded_answer{attempt.head.status, {}, attempt.recorded};
-        for (const auto& field : attempt.head.headers) {
-            if (!is_inner_field(field.name)) {
-                answer->headers.push_back(field);
-            }
-        }
-    }
-    decide(decisions_.on_attempt_ended(id, result, std::move(answer),
-                                       loop_.now()));
-    const auto left = attempts_.find(id);
-    if (left != attempts_.end() && !left->second.discarding) {
-        attempts_.erase(left);
-    }
-}
-
 void call_gateway::run(const cancel_attempt& order) {
     const auto found = attempts_.find(order.attempt);
     if (found == attempts_.end()) {
@@ -551,98 +351,6 @@
     loop_.defer([kept = call.incoming] {});
 }
 
-void call_gateway::run(const forward_call& order) {
-    const auto found = calls_.find(order.call);
-    if (found == calls_.end()) {
-        return;
-    }
-    auto& call = found->second;
-    http_request request;
-    request.method = call.request.outgoing.method;
-    request.target = call.request.target;
-    request.body = call.request.outgoing.body;
-    for (const auto& field : call.request.headers) {
-        if (!is_hop_by_hop(field.name) &&
-            !equal_ignoring_case(field.name, header::traceparent) &&
-            !equal_ignoring_case(field.name, header::timeout_ms)) {
-            request.headers.push_back(field);
-        }
-    }
-    const auto ms =
-        std::chrono::ceil<std::chrono::milliseconds>(order.time_left).count();
-    request.headers.push_back(
-        {std::string(header::timeout_ms), std::to_string(ms)});
-    request.headers.push_back(
-        {std::string(header::traceparent), to_traceparent(call.trace)});
-    request.headers.push_back(
-        {std::string(header::forwarded),
-         make_forward_token(order.owner, call.request.target, options_.key)});
-    const auto id = order.call;
-    exchange_events events;
-    events.head = [this, id](const http_answer_head& head) {
-        on_forward_head(id, head);
-    };
-    events.body = [this, id](std::string_view piece) {
-        const auto active = calls_.find(id);
-        if (active != calls_.end() && !active->second.forward_refused) {
-            pass_on(active->second, *active->second.forward, piece);
-        }
-    };
-    events.end = [this, id] {
-        on_forward_end(id, forward_completed{});
-    };
-    events.failed = [this, id](const exchange_failure& failure) {
-        if (failure.bytes_sent) {
-            on_forward_end(id, forward_lost{});
-        } else {
-            on_forward_end(id, forward_unreachable{});
-        }
-    };
-    const exchange_limits limits{connections_to_peer, options_.proven_alive};
-    call.forward =
-        pool_.start(order.caller_address, request, limits, std::move(events));
-}
-
-void call_gateway::on_forward_head(call_id id, const http_answer_head& head) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) {
-        return;
-    }
-    auto& call = found->second;
-    if (find_header(head.headers, header::wrong_owner)) {
-        call.forward_refused = true;
-        return;
-    }
-    if (!call.incoming) {
-        return;
-    }
-    // The owner's answer is passed on as it is, verdict and ticket included.
-    header_list headers;
-    for (const auto& field : head.headers) {
-        if (!is_hop_by_hop(field.name)) {
-            headers.push_back(field);
-        }
-    }
-    if (head.content_length &&
-        call.request.outgoing.method != EVHTTP_REQ_HEAD) {
-        headers.push_back(
-            {"Content-Length", std::to_string(*head.content_length)});
-    }
-    call.incoming->start(head.status, headers);
-}
-
-void call_gateway::on_forward_end(call_id id, const forward_result& result) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) {
-        return;
-    }
-    found->second.forward.reset();
-    const forward_result shown = found->second.forward_refused
-                                     ? forward_result{forward_refused{}}
-                                     : result;
-    decide(decisions_.on_forward_ended(id, shown, loop_.now()));
-}
-
 void call_gateway::record_span(const active_call& call,
                                const verdict& outcome) {
     if (!call.trace.sampled) {
--- /dev/null
+++ b/test/support/fake_platform.cpp
@@ -0,0 +1,193 @@
+#include "fake_node.hpp"
+
+#include <algorithm>
+
+// The fake world's platform.
+namespace fake {
+
+namespace {
+
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration late_effect = milliseconds(300);
+constexpr duration poll_interval = seconds(1);
+
+} // namespace
+
+void world::poll_platform(const std::string& name, std::uint64_t life) {
+    at(now_ + poll_interval, [this, name, life] {
+        const auto found = nodes_.find(name);
+        if (found != nodes_.end() && found->second->life == life) {
+            poll_platform(name, life);
+        }
+    });
+    const auto asked_at = now_;
+    on_node(name, life, [this, asked_at](node& self) {
+        if (!platform_reachable(self)) {
+            answer_later(self, platform_timeout, [this](node& later) {
+                later.decisions->on_platform_failed(now_);
+            });
+            return;
+        }
+        const auto held = self.decisions->table().version();
+        std::map<std::string, raw_row> rows;
+        std::uint64_t version = 0;
+        for (const auto& item : edits_) {
+            if (item.at + platform_.read_lag > now_) {
+                break;
+            }
+            version = item.row.version;
+            if (version > held) {
+                rows[item.row.key] = item.row;
+            }
+        }
+        std::vector<raw_row> list;
+        list.reserve(rows.size());
+        for (auto& [key, row] : rows) {
+            list.push_back(row);
+        }
+        answer_later(self, platform_.delay,
+                     [this, list, version, asked_at](node& later) {
+                         later.decisions->on_table(list, version, asked_at,
+                                                   now_);
+                         later.decisions->on_instance_list(listed_, now_);
+                     });
+    });
+}
+
+void world::commit_claims(const std::vector<claim>& claims) {
+    for (const auto& item : claims) {
+        claims_.emplace(item.key, item);
+    }
+}
+
+void world::write_claims(node& from, const lacewingbeam::write_claims& order) {
+    const auto number = order.batch.number;
+    const auto unknown = [this, number](node& self) {
+        carry_out(self, self.decisions->on_claims_unknown(number, now_));
+    };
+    std::vector<claim> existing;
+    for (const auto& item : order.batch.claims) {
+        const auto found = claims_.find(item.key);
+        if (found != claims_.end()) {
+            existing.push_back(found->second);
+        }
+    }
+    const auto lost = [&](unsigned& left) {
+        const bool hit = left > 0;
+        left -= hit ? 1 : 0;
+        return hit;
+    };
+    if (!platform_reachable(from) || platform_.writes_down ||
+        lost(platform_.lose_requests)) {
+        answer_later(from, platform_timeout, unknown);
+    } else if (!existing.empty()) {
+        answer_later(from, platform_.delay,
+                     [this, number, existing](node& self) {
+                         carry_out(self, self.decisions->on_claims_conflict(
+                                             number, existing, now_));
+                     });
+    } else if (lost(platform_.late_writes)) {
+        answer_later(from, platform_timeout, unknown);
+        at(now_ + late_effect, [this, claims = order.batch.claims] {
+            const bool free = std::none_of(
+                claims.begin(), claims.end(), [this](const claim& item) {
+                    return claims_.contains(item.key);
+                });
+            if (free) {
+                commit_claims(claims);
+            }
+        });
+    } else {
+        commit_claims(order.batch.claims);
+        if (lost(platform_.lose_answers)) {
+            answer_later(from, platform_timeout, unknown);
+            return;
+        }
+        answer_later(from, platform_.delay, [this, number](node& self) {
+            carry_out(self, self.decisions->on_claims_committed(number, now_));
+        });
+    }
+}
+
+void world::read_claim(node& from, const lacewingbeam::read_claim& order) {
+    const auto key = order.key;
+    if (!platform_reachable(from)) {
+        answer_later(from, platform_timeout, [this, key](node& self) {
+            carry_out(self, self.decisions->on_claim_read_failed(key, now_));
+        });
+        return;
+    }
+    std::optional<claim> row;
+    const auto found = claims_.find(key);
+    if (found != claims_.end()) {
+        row = found->second;
+    }
+    answer_later(from, platform_.delay, [this, key, row](node& self) {
+        carry_out(self, self.decisions->on_claim_read(key, row, now_));
+    });
+}
+
+void world::write_journal(node& from,
+                          const lacewingbeam::write_journal& order) {
+    if (platform_reachable(from) && !platform_.writes_down) {
+        for (const auto& entry : order.entries) {
+            journal_[entry.operation.text] = entry.answer;
+        }
+    }
+}
+
+void world::read_journal(node& from, const lacewingbeam::read_journal& order) {
+    const auto id = order.call;
+    std::optional<recorded_answer> answer;
+    const auto found = journal_.find(order.operation.text);
+    if (platform_reachable(from) && found != journal_.end()) {
+        answer = found->second;
+    }
+    const auto delay =
+        platform_reachable(from) ? platform_.delay : platform_timeout;
+    answer_later(from, delay, [this, id, answer](node& self) {
+        carry_out(self, self.decisions->on_journal(id, answer, now_));
+    });
+}
+
+bool world::platform_reachable(const node& at_node) const {
+    return !platform_.down && !platform_cuts_.contains(at_node.name);
+}
+
+void world::cut_platform(const std::string& name) {
+    platform_cuts_.insert(name);
+}
+
+void world::heal_platform(const std::string& name) {
+    platform_cuts_.erase(name);
+}
+
+void world::list_leaving(const std::string& server_name) {
+    listed_.push_back({server_addresses_.at(server_name), false, true});
+    history_.left(server_name, now_);
+}
+
+void world::edit(const std::string& key, std::vector<cell> cells) {
+    raw_row row;
+    row.key = key;
+    row.version = ++table_version_;
+    for (const auto& earlier : edits_) {
+        if (earlier.row.key == key) {
+            row.cells = earlier.row.cells;
+        }
+    }
+    for (auto& item : cells) {
+        std::erase_if(row.cells,
+                      [&](const cell& old) { return old.name == item.name; });
+        row.cells.push_back(std::move(item));
+    }
+    if (row.value_of("state") == "leaving") {
+        history_.left(key.substr(key.find('/') + 1), now_);
+    }
+    edits_.push_back({now_, std::move(row)});
+}
+
+} // namespace fake
--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -1,4 +1,4 @@
-#include "fake_world.hpp"
+#include "fake_node.hpp"
 
 #include <algorithm>
 
@@ -10,51 +10,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr duration network_delay = milliseconds(1);
 constexpr duration connect_timeout = milliseconds(250);
-constexpr duration platform_timeout = milliseconds(100);
-constexpr duration late_effect = milliseconds(300);
 constexpr duration tick_interval = milliseconds(10);
-constexpr duration poll_interval = seconds(1);
 constexpr duration loss_notice = milliseconds(50);
 constexpr int status_ok = 200;
 
-std::string claim_operation(const operation_id& id) {
-    return id.text;
-}
-
 } // namespace
 
-// One instance's life.
-struct world::node {
-    struct attempt {
-        call_id call{};
-        std::string server;
-        std::string content; // the operation that the answer belongs to
-        bool whole = false;
-        bool record = false;
-    };
-
-    struct open_call {
-        std::string operation;
-        std::uint64_t send = 0;
-        arriving_call request;
-        std::optional<attempt_id> delivering;
-        bool answered = false; // by a forward's owner
-        std::string from;      // instance that forwarded it; empty: a caller
-        std::uint64_t from_life = 0;
-        call_id from_call{};
-    };
-
-    std::string name;
-    std::uint64_t life = 0;
-    std::unique_ptr<coordinator> decisions;
-    bool paused = false;
-    std::vector<std::function<void(node&)>> backlog;
-    std::map<attempt_id, attempt> attempts;
-    std::map<call_id, open_call> calls;
-};
-
 world::world(std::uint64_t seed) : engine_(seed) {
     options.seed = seed;
     options.key = shared_key;
@@ -154,14 +116,6 @@
     return cuts_.contains(std::minmax(a, b));
 }
 
-void world::cut_platform(const std::string& name) {
-    platform_cuts_.insert(name);
-}
-
-void world::heal_platform(const std::string& name) {
-    platform_cuts_.erase(name);
-}
-
 void world::add_server(const std::string& service, const std::string& name) {
     servers_[name] = {};
     const auto address = "10.1.0." + std::to_string(servers_.size()) + ":80";
@@ -173,31 +127,6 @@
     return servers_.at(name);
 }
 
-void world::edit(const std::string& key, std::vector<cell> cells) {
-    raw_row row;
-    row.key = key;
-    row.version = ++table_version_;
-    for (const auto& earlier : edits_) {
-        if (earlier.row.key == key) {
-            row.cells = earlier.row.cells;
-        }
-    }
-    for (auto& item : cells) {
-        std::erase_if(row.cells,
-                      [&](const cell& old) { return old.name == item.name; });
-        row.cells.push_back(std::move(item));
-    }
-    if (row.value_of("state") == "leaving") {
-        history_.left(key.substr(key.find('/') + 1), now_);
-    }
-    edits_.push_back({now_, std::move(row)});
-}
-
-void world::list_leaving(const std::string& server_name) {
-    listed_.push_back({server_addresses_.at(server_name), false, true});
-    history_.left(server_name, now_);
-}
-
 void world::on_node(const std::string& name, std::uint64_t life,
                     std::function<void(node&)> function) {
     const auto found = nodes_.find(name);
@@ -240,51 +169,6 @@
     });
 }
 
-bool world::platform_reachable(const node& at_node) const {
-    return !platform_.down && !platform_cuts_.contains(at_node.name);
-}
-
-void world::poll_platform(const std::string& name, std::uint64_t life) {
-    at(now_ + poll_interval, [this, name, life] {
-        const auto found = nodes_.find(name);
-        if (found != nodes_.end() && found->second->life == life) {
-            poll_platform(name, life);
-        }
-    });
-    const auto asked_at = now_;
-    on_node(name, life, [this, asked_at](node& self) {
-        if (!platform_reachable(self)) {
-            answer_later(self, platform_timeout, [this](node& later) {
-                later.decisions->on_platform_failed(now_);
-            });
-            return;
-        }
-        const auto held = self.decisions->table().version();
-        std::map<std::string, raw_row> rows;
-        std::uint64_t version = 0;
-        for (const auto& item : edits_) {
-            if (item.at + platform_.read_lag > now_) {
-                break;
-            }
-            version = item.row.version;
-            if (version > held) {
-                rows[item.row.key] = item.row;
-            }
-        }
-        std::vector<raw_row> list;
-        list.reserve(rows.size());
-        for (auto& [key, row] : rows) {
-            list.push_back(row);
-        }
-        answer_later(self, platform_.delay,
-                     [this, list, version, asked_at](node& later) {
-                         later.decisions->on_table(list, version, asked_at,
-                                                   now_);
-                         later.decisions->on_instance_list(listed_, now_);
-                     });
-    });
-}
-
 std::string world::mint(const std::string& instance_name) {
     return instance(instance_name).mint_ticket(now_).value_or("");
 }
@@ -579,102 +463,6 @@
     });
 }
 
-void world::commit_claims(const std::vector<claim>& claims) {
-    for (const auto& item : claims) {
-        claims_.emplace(item.key, item);
-    }
-}
-
-void world::write_claims(node& from, const lacewingbeam::write_claims& order) {
-    const auto number = order.batch.number;
-    const auto unknown = [this, number](node& self) {
-        carry_out(self, self.decisions->on_claims_unknown(number, now_));
-    };
-    std::vector<claim> existing;
-    for (const auto& item : order.batch.claims) {
-        const auto found = claims_.find(item.key);
-        if (found != claims_.end()) {
-            existing.push_back(found->second);
-        }
-    }
-    const auto lost = [&](unsigned& left) {
-        const bool hit = left > 0;
-        left -= hit ? 1 : 0;
-        return hit;
-    };
-    if (!platform_reachable(from) || platform_.writes_down ||
-        lost(platform_.lose_requests)) {
-        answer_later(from, platform_timeout, unknown);
-    } else if (!existing.empty()) {
-        answer_later(from, platform_.delay,
-                     [this, number, existing](node& self) {
-                         carry_out(self, self.decisions->on_claims_conflict(
-                                             number, existing, now_));
-                     });
-    } else if (lost(platform_.late_writes)) {
-        answer_later(from, platform_timeout, unknown);
-        at(now_ + late_effect, [this, claims = order.batch.claims] {
-            const bool free = std::none_of(
-                claims.begin(), claims.end(), [this](const claim& item) {
-                    return claims_.contains(item.key);
-                });
-            if (free) {
-                commit_claims(claims);
-            }
-        });
-    } else {
-        commit_claims(order.batch.claims);
-        if (lost(platform_.lose_answers)) {
-            answer_later(from, platform_timeout, unknown);
-            return;
-        }
-        answer_later(from, platform_.delay, [this, number](node& self) {
-            carry_out(self, self.decisions->on_claims_committed(number, now_));
-        });
-    }
-}
-
-void world::read_claim(node& from, const lacewingbeam::read_claim& order) {
-    const auto key = order.key;
-    if (!platform_reachable(from)) {
-        answer_later(from, platform_timeout, [this, key](node& self) {
-            carry_out(self, self.decisions->on_claim_read_failed(key, now_));
-        });
-        return;
-    }
-    std::optional<claim> row;
-    const auto found = claims_.find(key);
-    if (found != claims_.end()) {
-        row = found->second;
-    }
-    answer_later(from, platform_.delay, [this, key, row](node& self) {
-        carry_out(self, self.decisions->on_claim_read(key, row, now_));
-    });
-}
-
-void world::write_journal(node& from,
-                          const lacewingbeam::write_journal& order) {
-    if (platform_reachable(from) && !platform_.writes_down) {
-        for (const auto& entry : order.entries) {
-            journal_[claim_operation(entry.operation)] = entry.answer;
-        }
-    }
-}
-
-void world::read_journal(node& from, const lacewingbeam::read_journal& order) {
-    const auto id = order.call;
-    std::optional<recorded_answer> answer;
-    const auto found = journal_.find(claim_operation(order.operation));
-    if (platform_reachable(from) && found != journal_.end()) {
-        answer = found->second;
-    }
-    const auto delay =
-        platform_reachable(from) ? platform_.delay : platform_timeout;
-    answer_later(from, delay, [this, id, answer](node& self) {
-        carry_out(self, self.decisions->on_journal(id, answer, now_));
-    });
-}
-
 void world::probe(node& from, const probe_server& order) {
     const auto server_name = order.server.backend_server;
     history_.probed({now_, server_name});
--- a/test/support/history.cpp
+++ b/test/support/history.cpp
@@ -24,9 +24,9 @@
 void history::saw_version(const std::string& instance, std::uint64_t version) {
     auto& last = versions_[instance];
     if (version < last) {
-        reverts_.push_back("reverted: " + instance + " went back from version " +
-                           std::to_string(last) + " to " +
-                           std::to_string(version));
+        reverts_.push_back("reverted: " + instance +
+                           " went back from version " + std::to_string(last) +
+                           " to " + std::to_string(version));
     }
     last = version;
 }
