--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -68,7 +68,8 @@
 
 std::vector<listed_instance> read_list(const std::string& body) {
     std::vector<listed_instance> list;
-    for (const auto& item : json::parse(body).at("instances")) {
+    const auto value = json::parse(body);
+    for (const auto& item : value.at("instances")) {
         listed_instance entry;
         entry.address = item.at("address").get<std::string>();
         entry.is_peer = item.value("role", "") == "lacewingbeam";
@@ -98,15 +99,13 @@
                               const std::string& body,
                               const sigc::slot<void(const answer&)>& done) {
     const auto pending = std::make_shared<pending_answer>();
-    const auto finish = [this, pending, done](int status,
-                                              const std::string& problem) {
-        if (pending->over) {
+    const auto finish = [done](pending_answer& given, int status,
+                               const std::string& problem) {
+        if (given.over) {
             return;
         }
-        pending->over = true;
-        // The timer may be what calls, so it goes after the callback.
-        loop_.defer([pending] { pending->timer.reset(); });
-        done(answer{status, std::move(pending->body), problem});
+        given.over = true;
+        done(answer{status, std::move(given.body), problem});
     };
     http_request outgoing;
     outgoing.method = method;
@@ -127,16 +126,24 @@
         }
     };
     events.end = [pending, finish] {
-        finish(pending->status, {});
+        pending->timer.reset();
+        finish(*pending, pending->status, {});
     };
-    events.failed = [finish](const exchange_failure& failure) {
-        finish(0, failure.bytes_sent ? "no answer" : "not reachable");
+    events.failed = [pending, finish](const exchange_failure& failure) {
+        pending->timer.reset();
+        finish(*pending, 0, failure.bytes_sent ? "no answer" : "not reachable");
     };
     const exchange_limits limits{max_connections, duration::max()};
     const auto id = pool_.start(address_, outgoing, limits, std::move(events));
-    pending->timer = loop_.every(timeout_, [this, id, finish] {
-        pool_.cancel(id);
-        finish(0, "timed out");
+    // The exchange owns the answer and its timer; the timer must not own it.
+    const std::weak_ptr<pending_answer> weak = pending;
+    pending->timer = loop_.every(timeout_, [this, id, weak, finish] {
+        const auto late = weak.lock();
+        if (late) {
+            loop_.defer([late] {}); // outlives this callback of its timer
+            pool_.cancel(id);
+            finish(*late, 0, "timed out");
+        }
     });
 }
 
--- a/test/integration/fault_test.cpp
+++ b/test/integration/fault_test.cpp
@@ -253,6 +253,33 @@
     cr_assert_geq(good, 45, "only %d of 60 reads went well", good);
 }
 
+Test(fault, server_leaving_by_platform_list_gets_no_new_work) {
+    running->add_instances(1);
+    running->control(running->platform(), {{"instances",
+                                            {{{"address", running->server("a")},
+                                              {"role", "backend"},
+                                              {"state", "leaving"}}}}});
+    pause_a_little(1500);
+    const auto served = running->run_log("a").at("served");
+    for (int i = 0; i < 10; ++i) {
+        cr_assert_eq(ask({callers(0), "GET", "/orders/x"}).status, 200);
+    }
+    cr_assert_eq(running->run_log("a").at("served"), served);
+}
+
+Test(fault, instance_listed_by_platform_is_found_without_seeds) {
+    running->add_instances(1);
+    running->control(running->platform(),
+                     {{"instances",
+                       {{{"address", running->instance(0).peer},
+                         {"role", "lacewingbeam"},
+                         {"state", "live"}}}}});
+    running->forget_seeds();
+    running->add_instance();
+    cr_assert(fleet::eventually(
+        [] { return running->status(1).value("active_instances", 0) == 2; }));
+}
+
 Test(fault, stopping_instance_finishes_work_and_ends) {
     running->add_instances(2);
     auto slow = ask_later(work(callers(0), "/orders/new?ms=900", "op"));
--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -109,6 +109,9 @@
 instance_process& fleet::add_instance(const std::string& settings) {
     std::string seeds;
     for (const auto& other : instances_) {
+        if (!give_seeds_) {
+            break;
+        }
         seeds += (seeds.empty() ? "" : ",") + other->peer;
     }
     const auto name = "instance" + std::to_string(instances_.size());
@@ -173,8 +176,8 @@
 unsigned fleet::count_doubled() const {
     std::map<std::string, unsigned> runs;
     for (const auto& [name, child] : servers_) {
-        for (const auto& [operation, count] :
-             run_log(name).at("operations").items()) {
+        const auto log = run_log(name);
+        for (const auto& [operation, count] : log.at("operations").items()) {
             runs[operation] += count.get<unsigned>();
         }
     }
--- a/test/integration/fleet.hpp
+++ b/test/integration/fleet.hpp
@@ -46,6 +46,9 @@
     // lines of its settings file.
     instance_process& add_instance(const std::string& settings = {});
 
+    // Instances added from now on get no seeds.
+    void forget_seeds() { give_seeds_ = false; }
+
     // As many instances, each knowing the others.
     void add_instances(unsigned count, const std::string& settings = {});
 
@@ -81,6 +84,7 @@
     std::vector<std::unique_ptr<proxy_process>> proxies_;
     std::vector<std::unique_ptr<instance_process>> instances_;
     std::uint64_t table_version_ = 0;
+    bool give_seeds_ = true;
 };
 
 // A request for work at a backend server stand-in.
