End calls whose caller left while another instance or run was awaited

Such a call stayed open for good: memory grew by one call for each, and a stopping instance never ended. Drops a verdict reason that nothing gave.

--- a/include/lacewingbeam/verdict.hpp
+++ b/include/lacewingbeam/verdict.hpp
@@ -35,7 +35,6 @@
     answer_truncated,
     caller_gone,
     minter_unreachable,
-    claimed_elsewhere,
     answer_not_kept,
     still_running,
     store_unavailable,
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -314,17 +314,23 @@
     return out;
 }
 
-// An operation goes on without its caller, who may come back for the result.
+// An operation goes on without its caller, who may come back for the result;
+// a call that waits for another instance or another call's run just ends.
 coordinator::actions coordinator::on_caller_gone(call_id id, time_point now) {
     observe(now);
     actions out;
+    const may_have_run gone{may_have_run_reason::caller_gone};
     const auto found = operations_.find(id);
-    if (found == operations_.end()) {
-        forwarded_.erase(id);
+    if (found != operations_.end()) {
+        if (!found->second.owner) {
+            ledger_.forget_waiter(found->second.operation, id);
+            operations_.erase(found);
+            finish(id, gone, {}, out);
+        }
+    } else if (forwarded_.erase(id) > 0) {
+        finish(id, gone, {}, out);
+    } else {
         take(dispatcher_.cancel(id, now), out);
-    } else if (!found->second.owner) {
-        ledger_.forget_waiter(found->second.operation, id);
-        operations_.erase(found);
     }
     return out;
 }
--- a/src/decisions/verdict.cpp
+++ b/src/decisions/verdict.cpp
@@ -74,8 +74,6 @@
         return "caller_gone";
     case may_have_run_reason::minter_unreachable:
         return "minter_unreachable";
-    case may_have_run_reason::claimed_elsewhere:
-        return "claimed_elsewhere";
     case may_have_run_reason::answer_not_kept:
         return "answer_not_kept";
     case may_have_run_reason::still_running:
--- a/test/integration/fault_test.cpp
+++ b/test/integration/fault_test.cpp
@@ -294,6 +294,18 @@
     cr_assert_eq(running->instance(0).child->exit_code(), 0);
 }
 
+Test(fault, caller_gone_from_forwarded_call_does_not_keep_instance_alive) {
+    running->add_instances(2);
+    const auto ticket = mint(0);
+    auto impatient = work(callers(1), "/orders/new?ms=1000", "op",
+                          {{"lacewingbeam-ticket", ticket}});
+    impatient.limit = std::chrono::milliseconds(200);
+    cr_assert_eq(ask(impatient).status, 0);
+    running->instance(1).child->signal(SIGTERM);
+    cr_assert(
+        running->instance(1).child->wait_for_end(std::chrono::seconds(20)));
+}
+
 Test(fault, strange_datagram_is_dropped_and_counted) {
     running->add_instances(1);
     const auto& peer = running->instance(0).peer;
--- a/test/random/schedule.cpp
+++ b/test/random/schedule.cpp
@@ -338,6 +338,11 @@
                     " of " + std::to_string(world_.table_version()));
             }
         }
+        if (world_.open_calls() > 0) {
+            result.violations.push_back(
+                "open: " + std::to_string(world_.open_calls()) +
+                " calls have no end");
+        }
         result.runs = world_.record().runs().size();
         for (const auto& answer : world_.record().answers()) {
             const auto kind = kind_name(answer.outcome);
--- a/test/support/fake_world.cpp
+++ b/test/support/fake_world.cpp
@@ -206,6 +206,14 @@
                  });
 }
 
+std::size_t world::open_calls() const {
+    std::size_t count = 0;
+    for (const auto& [name, self] : nodes_) {
+        count += self->calls.size();
+    }
+    return count;
+}
+
 void world::hang_up(const std::string& operation) {
     for (const auto& [name, self] : nodes_) {
         for (const auto& open : self->calls) {
--- a/test/support/fake_world.hpp
+++ b/test/support/fake_world.hpp
@@ -100,6 +100,9 @@
     // The callers of the operation's open calls go away.
     void hang_up(const std::string& operation);
 
+    // Calls that some running instance has not ended.
+    std::size_t open_calls() const;
+
     // Moves virtual time on.
     void run_for(duration time);
 
