--- a/include/lacewingbeam/coordinator.hpp
+++ b/include/lacewingbeam/coordinator.hpp
@@ -240,9 +240,10 @@
                         time_point now, actions& out);
     void begin_keyed(const arriving_call& arriving, const call& dispatch,
                      time_point now, actions& out);
-    bool begin_operation(const arriving_call& arriving, const call& dispatch,
-                         const operation_send& send, time_point now,
-                         actions& out);
+    std::optional<may_start> begin_operation(const arriving_call& arriving,
+                                             const call& dispatch,
+                                             const operation_send& send,
+                                             time_point now, actions& out);
     void forward_or_look_up(const operation_call& waiting,
                             const incarnation& owner, time_point now,
                             actions& out);
--- a/include/lacewingbeam/operation_ledger.hpp
+++ b/include/lacewingbeam/operation_ledger.hpp
@@ -57,8 +57,10 @@
     std::size_t answer_bytes = 32U << 20U; // over all recorded answers
 };
 
-// The holder may run the operation now and must call finish.
-struct may_start {};
+// The holder may run the operation now and must call finish or abandon.
+struct may_start {
+    bool again = false; // a send with a higher attempt number opened it
+};
 
 // The operation runs; finish will name this call among the waiting ones.
 struct wait_for_result {};
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -292,6 +292,10 @@
     }
 }
 
+void connection_pool::stop_keeping() {
+    options_.idle_timeout = duration::zero();
+}
+
 void connection_pool::sweep() {
     const auto now = loop_.now();
     std::vector<exchange*> overdue;
--- a/src/decisions/coordinator.cpp
+++ b/src/decisions/coordinator.cpp
@@ -216,26 +216,30 @@
                               arriving.id,
                               forget,
                               forget};
-    if (begin_operation(arriving, dispatch, send, now, out)) {
+    const auto start = begin_operation(arriving, dispatch, send, now, out);
+    if (start && start->again) {
+        // Its claim was won when it was first begun here.
+        take(dispatcher_.submit(operations_.at(arriving.id).dispatch, now),
+             out);
+    } else if (start) {
         claiming_[key] = arriving.id;
         claims_.request(key, dispatch.deadline, engine_);
         pump_claims(now, out);
     }
 }
 
-// True if the call may start the operation; otherwise it waits or is
-// answered.
-bool coordinator::begin_operation(const arriving_call& arriving,
-                                  const call& dispatch,
-                                  const operation_send& send, time_point now,
-                                  actions& out) {
+// What lets the call start the operation; nothing if it waits or is answered.
+std::optional<may_start>
+coordinator::begin_operation(const arriving_call& arriving,
+                             const call& dispatch, const operation_send& send,
+                             time_point now, actions& out) {
     const auto result = ledger_.begin(send, now);
     operation_call entry{send.operation, dispatch, false, arriving.forwarded};
     entry.dispatch.record_answer = true;
-    if (std::holds_alternative<may_start>(result)) {
+    if (const auto* start = std::get_if<may_start>(&result)) {
         entry.owner = true;
         operations_[arriving.id] = std::move(entry);
-        return true;
+        return *start;
     }
     if (std::holds_alternative<wait_for_result>(result)) {
         operations_[arriving.id] = std::move(entry);
@@ -244,7 +248,7 @@
     } else {
         finish(arriving.id, std::get<answer_now>(result).outcome, {}, out);
     }
-    return false;
+    return std::nullopt;
 }
 
 void coordinator::forward_or_look_up(const operation_call& waiting,
--- a/src/decisions/dispatcher_placing.cpp
+++ b/src/decisions/dispatcher_placing.cpp
@@ -13,6 +13,9 @@
 constexpr duration min_hedge_delay = milliseconds(10);
 constexpr std::size_t kept_choices = 16;
 
+// Before any answer was seen, a read is hedged after this share of its time.
+constexpr int unknown_latency_share = 4;
+
 } // namespace
 
 unsigned dispatcher::limit_share(const service_entry& entry) const {
@@ -160,17 +163,17 @@
                                   const call_entry& owner,
                                   time_point now) const {
     const bool may_hedge = owner.info.idempotent && !owner.hedged &&
-                           owner.info.length == work_length::short_work &&
-                           entry.latency_ms > 0;
+                           owner.info.length == work_length::short_work;
     if (!may_hedge) {
         return owner.info.deadline;
     }
     const double usual_ms =
         entry.latency_ms + hedge_deviations * entry.deviation_ms;
+    const auto usual = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(usual_ms));
+    const auto unknown = (owner.info.deadline - now) / unknown_latency_share;
     const auto delay =
-        std::max(min_hedge_delay,
-                 std::chrono::duration_cast<duration>(
-                     std::chrono::duration<double, std::milli>(usual_ms)));
+        std::max(min_hedge_delay, entry.latency_ms > 0 ? usual : unknown);
     return std::min(owner.info.deadline, now + delay);
 }
 
--- a/src/decisions/operation_ledger.cpp
+++ b/src/decisions/operation_ledger.cpp
@@ -48,7 +48,7 @@
     fresh.forget_after = send.forget_after;
     entries_.emplace(send.operation.text, std::move(fresh));
     expiry_.emplace(send.start_before, send.operation.text);
-    return may_start{};
+    return may_start{false};
 }
 
 begin_result operation_ledger::begin_known(entry& known,
@@ -64,7 +64,7 @@
     }
     if (newer && certainly_not_run(known.outcome)) {
         known.running = true;
-        return may_start{};
+        return may_start{true};
     }
     if (known.answer) {
         return replay{*known.answer};
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -195,6 +195,7 @@
 void entry_process::begin_stop() {
     log_event(event_number::stopping, {});
     decisions_->begin_stop(loop_.now());
+    pool_.stop_keeping();
 }
 
 void entry_process::tick() {
--- a/support/processes.sh
+++ b/support/processes.sh
@@ -16,6 +16,7 @@
     rm -rf "$work_dir"
 }
 trap stop_all EXIT
+trap "exit 143" TERM INT
 
 # start NAME PROGRAM [ARGUMENTS...]: runs it, waits for its "listening" line.
 # Sets $started_pid.
--- a/test/integration/fault_test.cpp
+++ b/test/integration/fault_test.cpp
@@ -307,6 +307,22 @@
     cr_assert_eq(running->instance(0).child->exit_code(), 0);
 }
 
+Test(fault, stopping_instance_keeps_no_idle_connection) {
+    auto& proxy = running->put_proxy_before("orders", "a");
+    running->edit("orders/b", {{"state", "leaving"}});
+    running->add_instances(1);
+    ask({callers(0), "GET", "/orders/x"});
+    const auto open = [&] {
+        const auto answer = ask({proxy.control, "GET", "/control"});
+        return answer.body_json().value("open", -1);
+    };
+    cr_assert_geq(open(), 1);
+    mint(0); // keeps the instance until the ticket has expired
+    running->instance(0).child->signal(SIGTERM);
+    cr_assert(fleet::eventually([&] { return open() == 0; }));
+    cr_assert(running->instance(0).child->is_running());
+}
+
 Test(fault, caller_gone_from_forwarded_call_does_not_keep_instance_alive) {
     running->add_instances(2);
     const auto ticket = mint(0);
