--- a/bench/load_report.cpp
+++ b/bench/load_report.cpp
@@ -1,5 +1,7 @@
 #include "load_report.hpp"
 
+#include <algorithm>
+
 namespace lacewingbeam::bench {
 
 namespace {
@@ -20,13 +22,16 @@
 }
 
 double latency_histogram::quantile(double share) const {
+    if (count_ == 0) {
+        return 0;
+    }
     const double wanted = share * static_cast<double>(count_);
     double seen = 0;
     double upper = 0;
     for (const auto& bin :
          boost::histogram::indexed(bins_, boost::histogram::coverage::all)) {
         seen += *bin;
-        upper = bin.bin().upper();
+        upper = std::min(highest_ms, bin.bin().upper());
         if (seen >= wanted && seen > 0) {
             return upper;
         }
