Drop members that nothing calls; resume a delivery in one place

close_idle, open_connections, stop_accepting, find_answer, rate and clear_leaving had no caller. The gateway resumed a paused delivery in two copies.

--- a/include/lacewingbeam/budget.hpp
+++ b/include/lacewingbeam/budget.hpp
@@ -21,8 +21,6 @@
     // Changes the rate; tokens already gathered are kept.
     void set_rate(double rate, time_point now);
 
-    double rate() const { return rate_; }
-
 private:
     void refill(time_point now);
 
--- a/include/lacewingbeam/operation_ledger.hpp
+++ b/include/lacewingbeam/operation_ledger.hpp
@@ -101,9 +101,6 @@
     // Drops operations whose time is over.
     void expire(time_point now);
 
-    // The answer of an operation that ran and is still kept.
-    const recorded_answer* find_answer(const operation_id& operation) const;
-
     std::size_t size() const { return entries_.size(); }
     std::size_t answer_bytes() const { return answer_bytes_; }
 
--- a/include/lacewingbeam/server_state.hpp
+++ b/include/lacewingbeam/server_state.hpp
@@ -40,7 +40,6 @@
 
     // The backend server, a peer or the platform said that it is leaving.
     void mark_leaving(time_point when);
-    void clear_leaving();
     bool is_leaving(time_point now) const;
 
     // Time since the last leaving signal, if it is still in force.
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -281,17 +281,6 @@
     }
 }
 
-void connection_pool::close_idle(const std::string& address) {
-    const auto found = idle_.find(address);
-    if (found == idle_.end()) {
-        return;
-    }
-    const auto list = found->second;
-    for (auto* item : list) {
-        destroy_later(item);
-    }
-}
-
 void connection_pool::stop_keeping() {
     options_.idle_timeout = duration::zero();
 }
--- a/src/adapters/connection_pool.hpp
+++ b/src/adapters/connection_pool.hpp
@@ -74,15 +74,10 @@
     void pause(exchange_id id);
     void resume(exchange_id id);
 
-    // Closes idle connections to an address.
-    void close_idle(const std::string& address);
-
     // Closes connections that are not in use now and from now on, so that the
     // shares of the instances that stay are not exceeded.
     void stop_keeping();
 
-    std::size_t open_connections() const { return connections_.size(); }
-
 private:
     struct connection;
     struct exchange;
--- a/src/adapters/http_listener.cpp
+++ b/src/adapters/http_listener.cpp
@@ -216,13 +216,6 @@
     evhttp_free(server_);
 }
 
-void http_listener::stop_accepting() {
-    if (socket_ != nullptr) {
-        evhttp_del_accept_socket(server_, socket_);
-        socket_ = nullptr;
-    }
-}
-
 void http_listener::on_request(evhttp_request* request, void* argument) {
     auto* self = static_cast<http_listener*>(argument);
     self->request.emit(
--- a/src/adapters/http_listener.hpp
+++ b/src/adapters/http_listener.hpp
@@ -84,9 +84,6 @@
 
     std::uint16_t port() const { return port_; }
 
-    // Stops accepting connections; open ones are served on.
-    void stop_accepting();
-
     // A request arrived. The receiver keeps the object until it is done.
     sigc::signal<void(std::shared_ptr<incoming_request>)> request;
 
--- a/src/decisions/operation_ledger.cpp
+++ b/src/decisions/operation_ledger.cpp
@@ -157,13 +157,4 @@
     }
 }
 
-const recorded_answer*
-operation_ledger::find_answer(const operation_id& operation) const {
-    const auto found = entries_.find(operation.text);
-    if (found == entries_.end() || !found->second.answer) {
-        return nullptr;
-    }
-    return &*found->second.answer;
-}
-
 } // namespace lacewingbeam
--- a/src/decisions/server_state.cpp
+++ b/src/decisions/server_state.cpp
@@ -116,10 +116,6 @@
     leaving_at_ = leaving_at_ ? std::max(*leaving_at_, when) : when;
 }
 
-void server_state::clear_leaving() {
-    leaving_at_.reset();
-}
-
 bool server_state::is_leaving(time_point now) const {
     return row_.leaving || leaving_age(now).has_value();
 }
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -126,12 +126,7 @@
         const auto leaving = std::move(found->second.incoming);
         loop_.defer([leaving] {});
         found->second.incoming.reset();
-        if (found->second.delivering) {
-            const auto attempt = attempts_.find(*found->second.delivering);
-            if (attempt != attempts_.end()) {
-                pool_.resume(attempt->second.exchange);
-            }
-        }
+        resume_delivery(found->second);
         decide(decisions_.on_caller_gone(id, loop_.now()));
     });
     incoming.drained.connect([this, id] {
@@ -141,15 +136,22 @@
         }
         if (found->second.forward) {
             pool_.resume(*found->second.forward);
-        } else if (found->second.delivering) {
-            const auto attempt = attempts_.find(*found->second.delivering);
-            if (attempt != attempts_.end()) {
-                pool_.resume(attempt->second.exchange);
-            }
+        } else {
+            resume_delivery(found->second);
         }
     });
 }
 
+void call_gateway::resume_delivery(const active_call& call) {
+    if (!call.delivering) {
+        return;
+    }
+    const auto attempt = attempts_.find(*call.delivering);
+    if (attempt != attempts_.end()) {
+        pool_.resume(attempt->second.exchange);
+    }
+}
+
 http_request call_gateway::make_request(const active_call& call,
                                         const start_attempt& order,
                                         const trace_context& trace) const {
--- a/src/entry/call_gateway.hpp
+++ b/src/entry/call_gateway.hpp
@@ -78,6 +78,7 @@
     void begin_call(std::shared_ptr<incoming_request> incoming,
                     call_request request);
     void watch_caller(call_id id, incoming_request& incoming);
+    void resume_delivery(const active_call& call);
     http_request make_request(const active_call& call,
                               const start_attempt& order,
                               const trace_context& trace) const;
