--- /dev/null
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -0,0 +1,168 @@
+#ifndef LACEWINGBEAM_DIRECTORY_FOLLOWER_HPP
+#define LACEWINGBEAM_DIRECTORY_FOLLOWER_HPP
+
+#include "core.hpp"
+#include "directory.hpp"
+#include "membership.hpp"
+#include "peer_messages.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+// Keeps a directory up to date: a few instances read the metadata store and
+// tell the others, who read it themselves when they hear nothing.
+namespace lacewingbeam {
+
+enum class store_table { routing, servers };
+inline constexpr std::size_t store_table_count = 2;
+
+// Ask the store for all rows of a table.
+struct read_snapshot {
+    store_table table{};
+};
+
+// Ask the store what changed after a revision; it answers at once if there
+// is something, and else after `wait`.
+struct read_changes {
+    store_table table{};
+    std::uint64_t after = 0;
+    duration wait{};
+};
+
+struct send_to_peer {
+    std::string peer_address;
+    peer_message message;
+};
+
+using follower_action = std::variant<read_snapshot, read_changes, send_to_peer>;
+
+// An answer of the store, in the product's rows.
+struct store_page {
+    store_table table{};
+    bool snapshot = false;
+    std::uint64_t revision = 0; // every change up to it is contained
+    std::vector<raw_row> rows;
+};
+
+enum class store_failure {
+    unreachable,  // refused, failed or no answer in time
+    history_gone, // the changes asked for are no longer kept
+};
+
+struct follower_options {
+    duration read_pause = std::chrono::milliseconds(400);
+    duration change_wait = std::chrono::milliseconds(1000);
+    std::size_t readers = 2;
+    duration silence = std::chrono::milliseconds(900);
+    duration return_hold = std::chrono::milliseconds(2200);
+    duration heartbeat_interval = std::chrono::milliseconds(500);
+    membership_options members;
+    member own;
+    std::uint64_t seed = 1;
+};
+
+class directory_follower {
+public:
+    using actions = std::vector<follower_action>;
+
+    directory_follower(follower_options options, time_point now);
+
+    void set_seeds(std::span<const std::string> peer_addresses);
+
+    // The store answered a read.
+    actions on_page(store_page page, time_point now);
+    actions on_failed(store_table table, store_failure failure, time_point now);
+
+    actions on_message(const std::string& from, const peer_message& message,
+                       time_point now);
+
+    // Everything that is due; call it again at next_due().
+    actions on_tick(time_point now);
+    time_point next_due() const;
+
+    // Tells the peers that this instance is leaving.
+    actions begin_stop(time_point now);
+
+    // What changed in the directory since the last call.
+    directory::change take_changes();
+
+    const directory& known() const { return directory_; }
+    const membership& members() const { return members_; }
+
+    // Instances that share work, this one included. Right after the start,
+    // when the peers are not known yet, no less than `assumed_at_start`.
+    std::size_t sharing_instances(time_point now) const;
+
+    // Time since the store was last read, by this instance or by a peer that
+    // told it.
+    duration age(time_point now) const;
+
+    // True if this instance reads the store now.
+    bool is_reading() const { return reading_; }
+
+    // Instances assumed while the peers are not known yet: more than any
+    // installation of today has in one failure domain, so that an instance
+    // that has just started does not take the whole of a shared budget.
+    static constexpr std::size_t assumed_at_start = 16;
+
+private:
+    struct table_state {
+        std::optional<std::uint64_t> position;
+        bool asked = false;
+        time_point next_read;
+        std::optional<time_point> read_at; // the last good answer
+        std::optional<time_point> failing_since;
+        std::optional<time_point> returned_at; // end of the last outage
+        unsigned failures = 0;
+    };
+
+    struct held_removal {
+        raw_row row;
+        time_point due;
+    };
+
+    table_state& state_of(store_table table);
+    bool is_outage(const table_state& state, time_point now) const;
+    bool should_read(time_point now) const;
+    std::size_t reader_rank(time_point now) const;
+    void ask(store_table table, actions& out);
+    std::vector<raw_row> keep_changed(std::vector<raw_row> rows) const;
+    void add_missing(const store_page& page, std::vector<raw_row>& rows) const;
+    void hold_removals(const table_state& state, std::vector<raw_row>& rows,
+                       time_point now);
+    void release_held(time_point now, actions& out);
+    void apply(std::span<const raw_row> rows, time_point now);
+    void tell_peers(std::vector<raw_row> rows, time_point now, actions& out);
+    void on_rows(const std::string& from, const table_rows& rows,
+                 time_point now, actions& out);
+    void send_heartbeats(time_point now, actions& out);
+    std::optional<time_point> own_read_at() const;
+
+    follower_options options_;
+    directory directory_;
+    membership members_;
+    random_engine engine_;
+    time_point started_at_;
+    std::array<table_state, store_table_count> tables_;
+    std::map<std::string, held_removal> held_;
+    directory::change changes_;
+    std::optional<time_point> told_at_;  // a peer's read, as it told
+    std::optional<time_point> differs_since_;
+    time_point next_request_;
+    time_point next_heartbeat_;
+    std::uint64_t heartbeat_sequence_ = 0;
+    std::uint64_t request_number_ = 0;
+    bool reading_ = true;
+    bool leaving_ = false;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/include/lacewingbeam/expected_time.hpp
@@ -0,0 +1,36 @@
+#ifndef LACEWINGBEAM_EXPECTED_TIME_HPP
+#define LACEWINGBEAM_EXPECTED_TIME_HPP
+
+#include "core.hpp"
+
+// How long one more request takes at a backend server.
+namespace lacewingbeam {
+
+// What a backend server says of itself in an answer or a probe.
+struct server_load_sample {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 1;
+    double slowness = 1; // time that work takes now, relative to the usual
+};
+
+// Everything that is known of a backend server when a request is placed.
+struct placement_view {
+    server_load_sample load;
+    unsigned sent_since = 0;   // own requests sent after the sample
+    bool cold = false;         // started a moment ago
+    bool same_domain = true;   // in this instance's failure domain
+    double distrust = 0;       // 0 none, 1 every recent request failed
+    double work_ms = 100;      // usual time of this kind of request
+    double objective_ms = 300; // response-time objective
+};
+
+// Expected time in milliseconds from now to the whole answer.
+double expected_time_ms(const placement_view& view);
+
+// True if the request would start at once.
+bool has_free_slot(const placement_view& view);
+
+} // namespace lacewingbeam
+
+#endif
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -57,6 +57,7 @@
     duration age{};
     std::vector<raw_row> rows;
     bool more = false; // newer rows are left
+    std::uint64_t digest = 0; // of a directory's rows; 0 without directory
 };
 
 using peer_message = std::variant<heartbeat, table_request, table_rows>;
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -57,6 +57,8 @@
   3: list<row> rows,
   4: i64 request_number,
   5: bool more,
+  // Of all rows that the sender holds; 0 if it keeps none.
+  6: i64 digest,
 }
 
 struct peer_message {
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -66,3 +66,57 @@
   6: tickets_section tickets,
   7: log_section log,
 }
+
+// Settings of the daemon lacewingbeam-router: an entry instance that routes
+// by host and path and learns its table from a metadata store.
+struct router_section {
+  1: string failure_domain = "" (mandatory = "yes", help = "failure domain this instance runs in"),
+  2: string callers = "" (kind = "endpoint", mandatory = "yes", help = "IP:port that takes callers' requests"),
+  3: string readiness = "" (kind = "endpoint", mandatory = "yes", help = "IP:port that answers whether this instance takes new connections"),
+  4: string peers = "" (kind = "endpoint", mandatory = "yes", help = "IP:port of the peer exchange, UDP and TCP"),
+  5: string metrics = "" (kind = "endpoint", mandatory = "yes", help = "IP:port of the metrics"),
+  6: double stop_grace = 6 (unit = "s", min = "0.5", max = "3600", help = "time between SIGTERM and SIGKILL"),
+  7: i32 max_requests = 2000 (unit = "count", min = "1", max = "1000000", help = "requests accepted at one time"),
+}
+
+struct store_section {
+  1: string address = "" (kind = "endpoint", mandatory = "yes", help = "IP:port of the metadata store"),
+  2: i32 read_pause = 400 (unit = "ms", min = "20", max = "5000", help = "pause of a reader between two reads of the changes"),
+  3: i32 request_timeout = 600 (unit = "ms", min = "50", max = "10000", help = "longest wait for one answer beyond what it was asked to wait"),
+  4: i32 readers = 2 (unit = "count", min = "1", max = "1000", help = "instances that read the store while all is well; the others hear from them"),
+  5: i32 silence = 900 (unit = "ms", min = "50", max = "10000", help = "time without word from a reader after which an instance reads the store itself"),
+  6: i32 return_hold = 2200 (unit = "ms", min = "0", max = "60000", help = "time after the store's return for which entries that lapsed meanwhile are kept"),
+}
+
+struct exchange_section {
+  1: string seeds = "" (kind = "endpoints", help = "IP:port of peers to contact first, separated by commas"),
+  2: string key = "" (mandatory = "yes", help = "text that authenticates peers' messages; the same on every instance"),
+  3: i32 heartbeat_interval = 500 (unit = "ms", min = "50", max = "5000", help = "time between two rounds of heartbeats"),
+  4: i32 fan_out = 4 (unit = "count", min = "1", max = "64", help = "peers that get a heartbeat in one round, at least"),
+  5: i32 suspect_after = 3000 (unit = "ms", min = "200", max = "60000", help = "silence after which a peer is suspected"),
+  6: i32 gone_after = 8000 (unit = "ms", min = "1000", max = "600000", help = "silence after which a peer is forgotten"),
+}
+
+// Budgets that all instances share; each uses its part of them.
+struct budget_section {
+  1: double repeat_ratio = 0.2 (unit = "ratio", min = "0", max = "10", help = "sends beyond a request's first, for each request to the service"),
+  2: double repeat_slack = 0 (unit = "count", min = "0", max = "1000000", help = "sends beyond that in each window, for all instances"),
+  3: double repeat_window = 10 (unit = "s", min = "1", max = "3600", help = "length of the window"),
+  4: double probes_per_second = 10 (unit = "1/s", min = "0", max = "10000", help = "probes of one backend server by all instances"),
+}
+
+struct placing_section {
+  1: string policy = "expected_time" (one_of = "random power_of_two expected_time", help = "rule that chooses a backend server"),
+  2: i32 probes = 4 (unit = "count", min = "0", max = "64", help = "backend servers asked for their load before each request"),
+  3: i32 probe_timeout = 12 (unit = "ms", min = "1", max = "1000", help = "longest wait for these answers"),
+  4: double hedge_at = 0.6 (unit = "ratio", min = "0", max = "10", help = "part of the response-time objective after which a repeatable request goes to a second backend server; 0: never"),
+}
+
+struct router_settings {
+  1: router_section router,
+  2: store_section store,
+  3: exchange_section peers,
+  4: budget_section budgets,
+  5: placing_section placing,
+  6: log_section log,
+}
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -175,7 +175,9 @@
     evhttp_request_set_chunked_cb(outgoing, on_chunk);
     evhttp_request_set_error_cb(outgoing, on_error);
     auto* headers = evhttp_request_get_output_headers(outgoing);
-    evhttp_add_header(headers, "Host", address.c_str());
+    if (!find_header(request.headers, "Host")) {
+        evhttp_add_header(headers, "Host", address.c_str());
+    }
     for (const auto& field : request.headers) {
         evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
     }
@@ -349,7 +351,8 @@
     if (!may_have_body(head.status, value->method)) {
         head.content_length = 0;
     }
-    value->unbounded = !head.content_length && !coding;
+    value->unbounded = !head.content_length && !coding &&
+                       !pool->options_.unmarked_end;
     if (value->unbounded) {
         value->problem = exchange_problem::truncated;
         return -1;
@@ -407,8 +410,18 @@
     }
     const auto* closing = evhttp_find_header(
         evhttp_request_get_input_headers(request), "Connection");
+    const bool marked =
+        evhttp_find_header(evhttp_request_get_input_headers(request),
+                           "Content-Length") != nullptr ||
+        evhttp_find_header(evhttp_request_get_input_headers(request),
+                           "Transfer-Encoding") != nullptr;
+    // Bytes behind the answer belong to no request.
+    const bool clean =
+        value->on != nullptr &&
+        evbuffer_get_length(bufferevent_get_input(value->on->stream())) == 0;
     const bool reusable =
-        closing == nullptr || !equal_ignoring_case(closing, "close");
+        marked && clean &&
+        (closing == nullptr || !equal_ignoring_case(closing, "close"));
     value->over = true;
     const auto end = value->events.end;
     pool->release(value->on, reusable);
--- a/src/adapters/connection_pool.hpp
+++ b/src/adapters/connection_pool.hpp
@@ -47,6 +47,7 @@
     duration stall_timeout = std::chrono::seconds(10);
     duration idle_timeout = std::chrono::seconds(30);
     std::size_t max_header_bytes = 65536;
+    bool unmarked_end = false; // an answer may end with its connection
 };
 
 // How one request uses the pool.
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 20> catalogue{{
+constexpr std::array<event_description, 26> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance listens on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -19,6 +19,8 @@
      "Nothing was left to do; the process ends."},
     {event_number::start_failed, log_level::error, "start_failed",
      "The instance could not start; the field reason says why."},
+    {event_number::reload_ignored, log_level::info, "reload_ignored",
+     "SIGHUP came; the settings that are in force need no reload."},
     {event_number::table_changed, log_level::info, "table_changed",
      "A newer version of the operators' table is in force."},
     {event_number::table_row_rejected, log_level::warning, "table_row_rejected",
@@ -54,8 +56,30 @@
     {event_number::journal_write_failed, log_level::warning,
      "journal_write_failed",
      "Recorded answers could not be written to the platform."},
+    {event_number::request_placed, log_level::info, "request_placed",
+     "A request was sent to a backend server; says what decided it."},
+    {event_number::attempt_failed, log_level::info, "attempt_failed",
+     "A backend server refused a request, failed it, or did not answer."},
+    {event_number::request_finished, log_level::info, "request_finished",
+     "A caller got the final answer."},
+    {event_number::caller_gone, log_level::info, "caller_gone",
+     "A caller left before the answer; its work was cancelled."},
+    {event_number::lines_left_out, log_level::warning, "lines_left_out",
+     "So many lines about requests were not written, to bound the log."},
 }};
 
+log_level least_level = log_level::info;
+
+log_level parse_level(std::string_view name) {
+    if (name == "debug") {
+        return log_level::debug;
+    }
+    if (name == "warning") {
+        return log_level::warning;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
 constexpr std::string_view quoted_characters = " \"=\n\r\t";
 
 const event_description& describe(event_number number) {
@@ -92,6 +116,7 @@
 }
 
 void configure_log(std::string_view level) {
+    least_level = parse_level(level);
     el::Configurations configuration;
     configuration.setToDefault();
     using type = el::ConfigurationType;
@@ -111,6 +136,10 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+bool is_logged(event_number number) {
+    return describe(number).level >= least_level;
+}
+
 void log_event(event_number number, std::initializer_list<log_field> fields) {
     const auto& event = describe(number);
     std::string line = "LB" + std::to_string(static_cast<int>(number)) + " ";
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -35,6 +35,12 @@
     answer_broken_off = 1403,
     claim_write_unknown = 1501,
     journal_write_failed = 1502,
+    request_placed = 1601,
+    attempt_failed = 1602,
+    request_finished = 1603,
+    caller_gone = 1604,
+    lines_left_out = 1605,
+    reload_ignored = 1005,
 };
 
 // How an event appears in the log.
@@ -56,6 +62,9 @@
 // Sets the least level that is written: debug, info, warning or error.
 void configure_log(std::string_view level);
 
+// True if the event's level is written.
+bool is_logged(event_number number);
+
 // Writes one line: time, level, number, name and fields as name=value.
 void log_event(event_number number, std::initializer_list<log_field> fields);
 
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "event_loop.hpp"
 
+#include <algorithm>
 #include <ctime>
 
 namespace lacewingbeam {
@@ -75,6 +76,15 @@
     return made;
 }
 
+scoped_event event_loop::make_timer(sigc::slot<void()> slot) {
+    return make_event(-1, 0, std::move(slot));
+}
+
+void event_loop::schedule(scoped_event& timer, duration delay) {
+    const auto time = to_timeval(std::max(delay, duration::zero()));
+    event_add(timer.handle_.get(), &time);
+}
+
 scoped_event event_loop::on_signal(int number, sigc::slot<void()> slot) {
     auto made = make_event(number, EV_SIGNAL | EV_PERSIST, std::move(slot));
     event_add(made.handle_.get(), nullptr);
--- a/src/adapters/event_loop.hpp
+++ b/src/adapters/event_loop.hpp
@@ -50,6 +50,12 @@
     // Runs the slot again and again until the result is destroyed.
     scoped_event every(duration interval, sigc::slot<void()> slot);
 
+    // Runs the slot when scheduled with schedule().
+    scoped_event make_timer(sigc::slot<void()> slot);
+
+    // Lets a timer run once after the delay; replaces an earlier schedule.
+    static void schedule(scoped_event& timer, duration delay);
+
     // Runs the slot at each arrival of the signal.
     scoped_event on_signal(int number, sigc::slot<void()> slot);
 
--- a/src/adapters/http_listener.cpp
+++ b/src/adapters/http_listener.cpp
@@ -196,12 +196,7 @@
                              std::uint16_t port, const listener_limits& limits)
     : loop_(loop), server_(evhttp_new(loop.base())) {
     evhttp_set_allowed_methods(server_, allowed_methods);
-    evhttp_set_max_headers_size(
-        server_, static_cast<ev_ssize_t>(limits.max_header_bytes));
-    evhttp_set_max_body_size(server_,
-                             static_cast<ev_ssize_t>(limits.max_body_bytes));
-    const auto timeout = to_timeval(limits.idle_timeout);
-    evhttp_set_timeout_tv(server_, &timeout);
+    set_limits(limits);
     evhttp_set_default_content_type(server_, nullptr);
     evhttp_set_gencb(server_, on_request, this);
     socket_ = evhttp_bind_socket_with_handle(server_, ip.c_str(), port);
@@ -212,6 +207,15 @@
     port_ = bound_port(evhttp_bound_socket_get_fd(socket_));
 }
 
+void http_listener::set_limits(const listener_limits& limits) {
+    evhttp_set_max_headers_size(
+        server_, static_cast<ev_ssize_t>(limits.max_header_bytes));
+    evhttp_set_max_body_size(server_,
+                             static_cast<ev_ssize_t>(limits.max_body_bytes));
+    const auto timeout = to_timeval(limits.idle_timeout);
+    evhttp_set_timeout_tv(server_, &timeout);
+}
+
 http_listener::~http_listener() {
     evhttp_free(server_);
 }
--- a/src/adapters/http_listener.hpp
+++ b/src/adapters/http_listener.hpp
@@ -84,6 +84,9 @@
 
     std::uint16_t port() const { return port_; }
 
+    // Limits of connections accepted from now on.
+    void set_limits(const listener_limits& limits);
+
     // A request arrived. The receiver keeps the object until it is done.
     sigc::signal<void(std::shared_ptr<incoming_request>)> request;
 
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -7,7 +7,9 @@
 #include <boost/algorithm/string.hpp>
 #include <charconv>
 #include <fstream>
+#include <iomanip>
 #include <ini.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
@@ -18,24 +20,29 @@
 
 namespace {
 
+using apache::thrift::protocol::T_DOUBLE;
 using apache::thrift::protocol::T_I32;
 using apache::thrift::protocol::T_STRING;
 using apache::thrift::protocol::T_STRUCT;
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
+const std::string entry_schema = "entry_settings";
+const std::string router_schema = "router_settings";
+
 // A setting as the schema describes it.
 struct setting_rule {
     std::int16_t field = 0;
     std::string name;
     bool is_number = false;
+    bool is_fraction = false;
     std::string fallback;
     std::string unit;
     std::string kind;
     std::string help;
     bool mandatory = false;
-    std::int32_t low = 0;
-    std::int32_t high = 0;
+    double low = 0;
+    double high = 0;
     std::vector<std::string> allowed;
 };
 
@@ -65,11 +72,16 @@
     return text.empty() ? 0 : std::stoi(text);
 }
 
+double to_fraction(const std::string& text) {
+    return text.empty() ? 0 : std::stod(text);
+}
+
 setting_rule read_rule(const nlohmann::json& field) {
     setting_rule rule;
     rule.field = field.at("key");
     rule.name = field.at("name");
     rule.is_number = field.at("typeId") == "i32";
+    rule.is_fraction = field.at("typeId") == "double";
     const auto& fallback = field.at("default");
     rule.fallback =
         fallback.is_string() ? fallback.get<std::string>() : fallback.dump();
@@ -77,8 +89,8 @@
     rule.kind = annotation(field, "kind");
     rule.help = annotation(field, "help");
     rule.mandatory = annotation(field, "mandatory") == "yes";
-    rule.low = to_number(annotation(field, "min"));
-    rule.high = to_number(annotation(field, "max"));
+    rule.low = to_fraction(annotation(field, "min"));
+    rule.high = to_fraction(annotation(field, "max"));
     const auto allowed = annotation(field, "one_of");
     if (!allowed.empty()) {
         boost::algorithm::split(rule.allowed, allowed,
@@ -87,17 +99,18 @@
     return rule;
 }
 
-std::vector<section_rule> read_schema() {
+// The sections of a settings struct of the schema.
+std::vector<section_rule> read_schema(const std::string& name) {
     const auto schema = nlohmann::json::parse(detail::settings_schema);
     std::vector<section_rule> sections;
     const auto& structs = schema.at("structs");
     const auto find_struct =
-        [&](const std::string& name) -> const nlohmann::json& {
+        [&](const std::string& wanted) -> const nlohmann::json& {
         return *std::find_if(
             structs.begin(), structs.end(),
-            [&](const auto& item) { return item.at("name") == name; });
+            [&](const auto& item) { return item.at("name") == wanted; });
     };
-    for (const auto& member : find_struct("entry_settings").at("fields")) {
+    for (const auto& member : find_struct(name).at("fields")) {
         section_rule section;
         section.field = member.at("key");
         section.name = member.at("name");
@@ -186,18 +199,28 @@
     return boost::algorithm::join(items, ", ");
 }
 
+// Written without digits behind the point that say nothing.
+std::string number_text(double value) {
+    std::ostringstream out;
+    out << std::setprecision(std::numeric_limits<double>::digits10) << value;
+    return out.str();
+}
+
 std::string range_text(const setting_rule& rule) {
-    return "a whole number from " + std::to_string(rule.low) + " to " +
-           std::to_string(rule.high) + " (unit: " + rule.unit +
+    return std::string(rule.is_fraction ? "a number" : "a whole number") +
+           " from " + number_text(rule.low) + " to " +
+           number_text(rule.high) + " (unit: " + rule.unit +
            ", written without it)";
 }
 
+template <class Number>
 std::string check_number(const setting_rule& rule, const std::string& value) {
-    std::int32_t number = 0;
+    Number number{};
     const char* end = value.data() + value.size();
     const auto result = std::from_chars(value.data(), end, number);
-    if (result.ec != std::errc{} || result.ptr != end || number < rule.low ||
-        number > rule.high) {
+    const auto read = static_cast<double>(number);
+    if (result.ec != std::errc{} || result.ptr != end ||
+        !(read >= rule.low && read <= rule.high)) {
         return "allowed is " + range_text(rule);
     }
     return {};
@@ -234,7 +257,11 @@
 }
 
 std::string check_value(const setting_rule& rule, const std::string& value) {
-    return rule.is_number ? check_number(rule, value) : check_text(rule, value);
+    if (rule.is_number) {
+        return check_number<std::int32_t>(rule, value);
+    }
+    return rule.is_fraction ? check_number<double>(rule, value)
+                            : check_text(rule, value);
 }
 
 const section_rule* find_section(const std::vector<section_rule>& schema,
@@ -327,22 +354,26 @@
 
 // Writes the values in Thrift's own form, from which the generated struct
 // reads them: the schema is the only list of names.
-settings::entry_settings bind(const std::vector<section_rule>& schema,
-                              const std::vector<found_setting>& found) {
+template <class Settings>
+Settings bind(const std::vector<section_rule>& schema,
+              const std::vector<found_setting>& found) {
     const auto buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocol protocol(buffer);
-    protocol.writeStructBegin("entry_settings");
+    protocol.writeStructBegin("");
     for (const auto& section : schema) {
         protocol.writeFieldBegin("", T_STRUCT, section.field);
         protocol.writeStructBegin("");
         for (const auto& rule : section.settings) {
             const auto* item = find_value(found, section.name, rule.name);
             const auto& value = item == nullptr ? rule.fallback : item->value;
-            protocol.writeFieldBegin("", rule.is_number ? T_I32 : T_STRING,
-                                     rule.field);
             if (rule.is_number) {
+                protocol.writeFieldBegin("", T_I32, rule.field);
                 protocol.writeI32(to_number(value));
+            } else if (rule.is_fraction) {
+                protocol.writeFieldBegin("", T_DOUBLE, rule.field);
+                protocol.writeDouble(to_fraction(value));
             } else {
+                protocol.writeFieldBegin("", T_STRING, rule.field);
                 protocol.writeString(value);
             }
             protocol.writeFieldEnd();
@@ -353,16 +384,15 @@
     }
     protocol.writeFieldStop();
     protocol.writeStructEnd();
-    settings::entry_settings value;
+    Settings value;
     value.read(&protocol);
     return value;
 }
 
-} // namespace
-
-settings::entry_settings parse_settings(std::string_view text,
-                                        const std::string& name) {
-    const auto schema = read_schema();
+template <class Settings>
+Settings parse(std::string_view text, const std::string& name,
+               const std::string& schema_name) {
+    const auto schema = read_schema(schema_name);
     problem_list problems(name);
     const auto found = read_ini(text, problems);
     for (const auto& item : found) {
@@ -371,30 +401,30 @@
     check_repeated(found, problems);
     check_mandatory(schema, found, problems);
     problems.throw_if_any();
-    return bind(schema, found);
+    return bind<Settings>(schema, found);
 }
 
-settings::entry_settings read_settings_file(const std::string& path) {
+std::string read_file(const std::string& path) {
     std::ifstream file(path);
     if (!file) {
         throw settings_error(path + ": cannot be read");
     }
     std::ostringstream content;
     content << file.rdbuf();
-    return parse_settings(content.str(), path);
+    return content.str();
 }
 
-std::string settings_reference() {
+std::string reference_of(const std::string& schema_name) {
     std::ostringstream out;
-    for (const auto& section : read_schema()) {
+    for (const auto& section : read_schema(schema_name)) {
         out << "### [" << section.name << "]\n\n"
             << "| key | default | allowed | meaning |\n"
             << "|---|---|---|---|\n";
         for (const auto& rule : section.settings) {
             std::string allowed = rule.kind;
-            if (rule.is_number) {
-                allowed = std::to_string(rule.low) + " to " +
-                          std::to_string(rule.high) + " " + rule.unit;
+            if (rule.is_number || rule.is_fraction) {
+                allowed = number_text(rule.low) + " to " +
+                          number_text(rule.high) + " " + rule.unit;
             } else if (!rule.allowed.empty()) {
                 allowed = join(rule.allowed);
             }
@@ -408,4 +438,32 @@
     return out.str();
 }
 
+} // namespace
+
+settings::entry_settings parse_settings(std::string_view text,
+                                        const std::string& name) {
+    return parse<settings::entry_settings>(text, name, entry_schema);
+}
+
+settings::entry_settings read_settings_file(const std::string& path) {
+    return parse_settings(read_file(path), path);
+}
+
+settings::router_settings parse_router_settings(std::string_view text,
+                                                const std::string& name) {
+    return parse<settings::router_settings>(text, name, router_schema);
+}
+
+settings::router_settings read_router_settings_file(const std::string& path) {
+    return parse_router_settings(read_file(path), path);
+}
+
+std::string settings_reference() {
+    return reference_of(entry_schema);
+}
+
+std::string router_settings_reference() {
+    return reference_of(router_schema);
+}
+
 } // namespace lacewingbeam
--- a/src/adapters/settings_file.hpp
+++ b/src/adapters/settings_file.hpp
@@ -24,8 +24,14 @@
 settings::entry_settings parse_settings(std::string_view text,
                                         const std::string& name);
 
+// The same for the daemon lacewingbeam-router.
+settings::router_settings read_router_settings_file(const std::string& path);
+settings::router_settings parse_router_settings(std::string_view text,
+                                                const std::string& name);
+
 // The reference of all settings, as Markdown tables.
 std::string settings_reference();
+std::string router_settings_reference();
 
 } // namespace lacewingbeam
 
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -156,6 +156,7 @@
         rows.age_ms = clamp_ms(value.age);
         rows.request_number = static_cast<std::int64_t>(value.request_number);
         rows.more = value.more;
+        rows.digest = static_cast<std::int64_t>(value.digest);
         for (const auto& item : value.rows) {
             rows.rows.push_back(to_wire(item));
         }
@@ -194,6 +195,7 @@
     rows.age = from_ms(value.age_ms);
     rows.request_number = static_cast<std::uint64_t>(value.request_number);
     rows.more = value.more;
+    rows.digest = static_cast<std::uint64_t>(value.digest);
     for (const auto& item : value.rows) {
         rows.rows.push_back(from_wire(item));
     }
--- /dev/null
+++ b/src/decisions/knowledge/directory.cpp
@@ -0,0 +1,183 @@
+#include "lacewingbeam/directory.hpp"
+
+#include "lacewingbeam/endpoint.hpp"
+
+#include <charconv>
+
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::string_view cold_cell = "cold_us";
+
+[[noreturn]] void reject(const raw_row& row, std::string_view cell_name) {
+    throw table_error("row " + row.key + ", cell " + std::string(cell_name) +
+                      ": \"" + std::string(row.value_of(cell_name)) +
+                      "\" cannot be read");
+}
+
+template <class Number>
+Number read_number(const raw_row& row, std::string_view name) {
+    const auto text = row.value_of(name);
+    Number value{};
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    if (result.ec != std::errc{} || result.ptr != end) {
+        reject(row, name);
+    }
+    return value;
+}
+
+// Leaves out what changes while a server stays as it is.
+std::uint64_t digest_of(const raw_row& row) {
+    if (row.deleted || row.cells.empty()) {
+        return 0;
+    }
+    std::string text = row.key;
+    for (const auto& item : row.cells) {
+        if (item.name != cold_cell) {
+            text += '\n' + item.name + '=' + item.value;
+        }
+    }
+    return hash(text);
+}
+
+} // namespace
+
+raw_row make_row(const registered_server& server, std::uint64_t revision) {
+    raw_row row;
+    row.key = std::string(server_row_prefix) + server.id;
+    row.version = revision;
+    row.cells = {{"service", server.service},
+                 {"address", server.address},
+                 {"failure_domain", server.failure_domain},
+                 {"slots", std::to_string(server.slots)},
+                 {"state", server.leaving ? "leaving" : "active"},
+                 {std::string(cold_cell), std::to_string(server.cold_left.count())},
+                 {"started_at", server.started_at}};
+    return row;
+}
+
+registered_server parse_registered_server(const raw_row& row) {
+    registered_server server;
+    server.id = row.key.substr(server_row_prefix.size());
+    server.service = row.value_of("service");
+    server.address = row.value_of("address");
+    if (!parse_endpoint(server.address)) {
+        reject(row, "address");
+    }
+    server.failure_domain = row.value_of("failure_domain");
+    server.slots = read_number<unsigned>(row, "slots");
+    if (server.slots == 0) {
+        reject(row, "slots");
+    }
+    server.leaving = row.value_of("state") != "active";
+    server.cold_left = duration(read_number<duration::rep>(row, cold_cell));
+    server.started_at = row.value_of("started_at");
+    return server;
+}
+
+directory::change directory::apply(std::span<const raw_row> rows,
+                                   time_point now) {
+    change out;
+    for (const auto& row : rows) {
+        auto& held = rows_[row.key];
+        if (held.row.version >= row.version) {
+            continue;
+        }
+        digest_ ^= digest_of(held.row) ^ digest_of(row);
+        held = {row, now};
+        try {
+            if (row.key == routing_row_key) {
+                apply_routing(row, out);
+            } else if (row.key.starts_with(server_row_prefix)) {
+                apply_server(row, now, out);
+            }
+        } catch (const table_error& problem) {
+            out.rejected.emplace_back(problem.what());
+        }
+    }
+    return out;
+}
+
+void directory::apply_routing(const raw_row& row, change& out) {
+    if (row.deleted) {
+        return; // the last routes stay in force
+    }
+    routing_ = parse_routing(row);
+    out.routing = true;
+}
+
+void directory::apply_server(const raw_row& row, time_point now, change& out) {
+    const auto id = row.key.substr(server_row_prefix.size());
+    const auto known = servers_.find(id);
+    if (known != servers_.end()) {
+        by_service_[known->second.info.service].erase(id);
+        servers_.erase(known);
+    }
+    out.servers.push_back(id);
+    if (row.deleted) {
+        return;
+    }
+    const auto server = parse_registered_server(row);
+    servers_[id] = {server, now + server.cold_left};
+    by_service_[server.service].insert(id);
+}
+
+std::vector<raw_row> directory::rows_after(std::uint64_t revision) const {
+    std::vector<raw_row> rows;
+    for (const auto& [key, held] : rows_) {
+        if (held.row.version > revision) {
+            rows.push_back(held.row);
+        }
+    }
+    return rows;
+}
+
+const raw_row* directory::find_row(std::string_view key) const {
+    const auto found = rows_.find(key);
+    return found == rows_.end() ? nullptr : &found->second.row;
+}
+
+std::uint64_t directory::revision_of(std::string_view key) const {
+    const auto found = rows_.find(key);
+    return found == rows_.end() ? 0 : found->second.row.version;
+}
+
+const known_server* directory::find(std::string_view id) const {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+std::vector<const known_server*>
+directory::available(std::string_view service) const {
+    std::vector<const known_server*> found;
+    const auto ids = by_service_.find(service);
+    if (ids == by_service_.end()) {
+        return found;
+    }
+    for (const auto& id : ids->second) {
+        const auto& server = servers_.find(id)->second;
+        if (!server.info.leaving) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> directory::server_keys() const {
+    std::vector<std::string> keys;
+    for (const auto& [id, server] : servers_) {
+        keys.push_back(std::string(server_row_prefix) + id);
+    }
+    return keys;
+}
+
+void directory::forget_old_tombstones(time_point now) {
+    std::erase_if(rows_, [&](const auto& item) {
+        return item.second.row.deleted &&
+               now - item.second.changed_at > tombstone_lifetime;
+    });
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -0,0 +1,410 @@
+#include "lacewingbeam/directory_follower.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <utility>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Shorter failures of the store lapse no entry: servers register again every
+// second or two, and three times unheard make one lapse.
+constexpr duration shortest_outage = milliseconds(1500);
+
+// Peers told of a read differ while a change is on its way; longer than this
+// a message was lost.
+constexpr duration difference_bearable = milliseconds(250);
+constexpr duration request_pause = milliseconds(500);
+
+constexpr duration first_retry = milliseconds(100);
+constexpr duration longest_retry = milliseconds(800);
+
+// Instances that hear nothing start to read one after the other.
+constexpr duration fallback_step = milliseconds(40);
+constexpr duration longest_fallback = milliseconds(600);
+
+// Time in which the heartbeats of all peers have come in after a start.
+constexpr duration acquaintance = milliseconds(2500);
+
+constexpr std::size_t digest_members = 6;
+constexpr std::size_t most_page_rows = 4000;
+
+bool same_content(const raw_row& a, const raw_row& b) {
+    return a.deleted == b.deleted && a.cells == b.cells;
+}
+
+bool is_cold(const raw_row& row) {
+    return row.value_of("cold_us") != "0";
+}
+
+// True if nothing but the rest of the cold time differs.
+bool same_server(const raw_row& a, const raw_row& b) {
+    if (a.deleted || b.deleted || a.cells.size() != b.cells.size()) {
+        return same_content(a, b);
+    }
+    return std::equal(a.cells.begin(), a.cells.end(), b.cells.begin(),
+                      [](const cell& x, const cell& y) {
+                          return x.name == y.name &&
+                                 (x.value == y.value || x.name == "cold_us");
+                      }) &&
+           is_cold(a) == is_cold(b);
+}
+
+} // namespace
+
+directory_follower::directory_follower(follower_options options,
+                                       time_point now)
+    : options_(std::move(options)), members_(options_.own, options_.members),
+      engine_(options_.seed), started_at_(now), next_request_(now),
+      next_heartbeat_(now) {
+    for (auto& table : tables_) {
+        table.next_read = now;
+    }
+}
+
+void directory_follower::set_seeds(
+    std::span<const std::string> peer_addresses) {
+    members_.set_seeds(peer_addresses);
+}
+
+directory_follower::table_state&
+directory_follower::state_of(store_table table) {
+    return tables_[static_cast<std::size_t>(table)];
+}
+
+bool directory_follower::is_outage(const table_state& state,
+                                   time_point now) const {
+    return state.failing_since &&
+           now - *state.failing_since > shortest_outage;
+}
+
+// A read of the routes waits at the store for a change, so only a failure of
+// it counts.
+std::optional<time_point> directory_follower::own_read_at() const {
+    const auto& routing =
+        tables_[static_cast<std::size_t>(store_table::routing)];
+    const auto& servers =
+        tables_[static_cast<std::size_t>(store_table::servers)];
+    if (!routing.read_at || !servers.read_at) {
+        return std::nullopt;
+    }
+    return routing.failing_since
+               ? std::min(*routing.read_at, *servers.read_at)
+               : *servers.read_at;
+}
+
+duration directory_follower::age(time_point now) const {
+    const auto own = own_read_at();
+    const auto latest = std::max(own.value_or(time_point{}),
+                                 told_at_.value_or(time_point{}));
+    return now - latest;
+}
+
+// Position in the order in which instances are asked to read.
+std::size_t directory_follower::reader_rank(time_point now) const {
+    const auto rank_of = [](const incarnation& id) {
+        return hash(to_string(id));
+    };
+    const auto own = rank_of(options_.own.id);
+    std::size_t rank = 0;
+    for (const auto& peer : members_.members(now)) {
+        if (peer.state == member_state::alive && rank_of(peer.id) < own) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+bool directory_follower::should_read(time_point now) const {
+    if (directory_.routing() == nullptr || !own_read_at()) {
+        return true;
+    }
+    const auto rank = reader_rank(now);
+    if (rank < options_.readers && !leaving_) {
+        return true;
+    }
+    const auto step = std::min<duration>(
+        longest_fallback,
+        fallback_step * static_cast<duration::rep>(rank));
+    return !told_at_ || now - *told_at_ > options_.silence + step;
+}
+
+std::size_t directory_follower::sharing_instances(time_point now) const {
+    const auto counted = members_.active_count(now);
+    const bool unknown = now - started_at_ < acquaintance;
+    return std::max<std::size_t>(counted, unknown ? assumed_at_start : 1);
+}
+
+void directory_follower::ask(store_table table, actions& out) {
+    auto& state = state_of(table);
+    state.asked = true;
+    if (!state.position) {
+        out.emplace_back(read_snapshot{table});
+        return;
+    }
+    const bool waits = table == store_table::routing;
+    out.emplace_back(read_changes{table, *state.position,
+                               waits ? options_.change_wait : duration{}});
+}
+
+directory_follower::actions directory_follower::on_tick(time_point now) {
+    actions out;
+    release_held(now, out);
+    reading_ = should_read(now);
+    for (const auto table : {store_table::routing, store_table::servers}) {
+        auto& state = state_of(table);
+        if (reading_ && !state.asked && now >= state.next_read) {
+            ask(table, out);
+        }
+    }
+    if (now >= next_heartbeat_) {
+        next_heartbeat_ = now + options_.heartbeat_interval;
+        send_heartbeats(now, out);
+        directory_.forget_old_tombstones(now);
+    }
+    return out;
+}
+
+time_point directory_follower::next_due() const {
+    auto due = next_heartbeat_;
+    for (const auto& table : tables_) {
+        if (reading_ && !table.asked) {
+            due = std::min(due, table.next_read);
+        }
+    }
+    for (const auto& [key, removal] : held_) {
+        due = std::min(due, removal.due);
+    }
+    if (!reading_ && told_at_) {
+        due = std::min(due, *told_at_ + options_.silence);
+    }
+    return due;
+}
+
+// Drops rows that say nothing new: servers register again and again.
+std::vector<raw_row>
+directory_follower::keep_changed(std::vector<raw_row> rows) const {
+    std::erase_if(rows, [&](const raw_row& row) {
+        if (row.key == routing_row_key) {
+            return directory_.revision_of(row.key) >= row.version;
+        }
+        const auto* held = directory_.find_row(row.key);
+        return held != nullptr ? same_server(*held, row) : row.deleted;
+    });
+    return rows;
+}
+
+// A snapshot lacks what was removed while nobody read.
+void directory_follower::add_missing(const store_page& page,
+                                     std::vector<raw_row>& rows) const {
+    if (!page.snapshot || page.table != store_table::servers) {
+        return;
+    }
+    std::set<std::string_view> present;
+    for (const auto& row : page.rows) {
+        present.insert(row.key);
+    }
+    for (const auto& key : directory_.server_keys()) {
+        if (!present.contains(key) &&
+            directory_.revision_of(key) <= page.revision) {
+            rows.push_back({key, page.revision, true, {}});
+        }
+    }
+}
+
+// Entries lapse while the store is away, and servers that live register again
+// once it is back: until then a removal is not believed.
+void directory_follower::hold_removals(const table_state& state,
+                                       std::vector<raw_row>& rows,
+                                       time_point now) {
+    for (const auto& row : rows) {
+        if (!row.deleted) {
+            held_.erase(row.key);
+        }
+    }
+    const bool lately =
+        state.returned_at && now - *state.returned_at < options_.return_hold;
+    if (!lately) {
+        return;
+    }
+    const auto due = *state.returned_at + options_.return_hold;
+    std::erase_if(rows, [&](const raw_row& row) {
+        if (row.deleted) {
+            held_[row.key] = {row, due};
+        }
+        return row.deleted;
+    });
+}
+
+void directory_follower::release_held(time_point now, actions& out) {
+    std::vector<raw_row> rows;
+    std::erase_if(held_, [&](const auto& item) {
+        const bool due = now >= item.second.due;
+        if (due) {
+            rows.push_back(item.second.row);
+        }
+        return due;
+    });
+    if (!rows.empty()) {
+        apply(rows, now);
+        tell_peers(std::move(rows), now, out);
+    }
+}
+
+void directory_follower::apply(std::span<const raw_row> rows, time_point now) {
+    auto change = directory_.apply(rows, now);
+    changes_.routing |= change.routing;
+    for (auto& id : change.servers) {
+        changes_.servers.push_back(std::move(id));
+    }
+    for (auto& text : change.rejected) {
+        changes_.rejected.push_back(std::move(text));
+    }
+}
+
+directory::change directory_follower::take_changes() {
+    return std::exchange(changes_, {});
+}
+
+directory_follower::actions directory_follower::on_page(store_page page,
+                                                        time_point now) {
+    actions out;
+    auto& state = state_of(page.table);
+    state.asked = false;
+    if (is_outage(state, now)) {
+        state.returned_at = now;
+    }
+    state.failing_since.reset();
+    state.failures = 0;
+    state.position = std::max(state.position.value_or(0), page.revision);
+    state.read_at = now;
+    const bool waited = page.table == store_table::routing && !page.snapshot;
+    state.next_read = waited ? now : now + options_.read_pause;
+    auto rows = keep_changed(page.rows);
+    add_missing(page, rows);
+    hold_removals(state, rows, now);
+    apply(rows, now);
+    if (!rows.empty() || page.table == store_table::servers) {
+        tell_peers(std::move(rows), now, out);
+    }
+    return out;
+}
+
+directory_follower::actions
+directory_follower::on_failed(store_table table, store_failure failure,
+                              time_point now) {
+    auto& state = state_of(table);
+    state.asked = false;
+    if (failure == store_failure::history_gone) {
+        state.position.reset();
+        state.next_read = now;
+        return {};
+    }
+    if (!state.failing_since) {
+        state.failing_since = state.read_at.value_or(now);
+    }
+    const auto pause =
+        std::min<duration>(longest_retry, first_retry * (1U << state.failures));
+    state.failures = std::min(state.failures + 1, 4U);
+    boost::random::uniform_real_distribution<double> spread(0.75, 1.25);
+    state.next_read =
+        now + duration(static_cast<duration::rep>(
+                  static_cast<double>(pause.count()) * spread(engine_)));
+    return {};
+}
+
+void directory_follower::tell_peers(std::vector<raw_row> rows, time_point now,
+                                    actions& out) {
+    table_rows message;
+    message.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
+    message.rows = std::move(rows);
+    message.digest = directory_.digest();
+    for (const auto& peer : members_.members(now)) {
+        out.emplace_back(send_to_peer{peer.peer_address, message});
+    }
+}
+
+directory_follower::actions
+directory_follower::on_message(const std::string& from,
+                               const peer_message& message, time_point now) {
+    actions out;
+    if (const auto* beat = std::get_if<heartbeat>(&message)) {
+        const bool known =
+            members_.find(beat->sender.id, now).has_value();
+        members_.on_heartbeat(beat->sender, beat->sequence, now);
+        members_.on_hearsay(beat->members, now);
+        if (!known && now - started_at_ < acquaintance) {
+            next_heartbeat_ = now; // answer those who know nobody yet
+        }
+    } else if (const auto* rows = std::get_if<table_rows>(&message)) {
+        on_rows(from, *rows, now, out);
+    } else {
+        table_rows answer;
+        answer.age =
+            own_read_at() ? now - *own_read_at() : duration::max() / 2;
+        answer.rows = directory_.rows_after(
+            std::get<table_request>(message).have_version);
+        answer.digest = directory_.digest();
+        out.emplace_back(send_to_peer{from, std::move(answer)});
+    }
+    return out;
+}
+
+void directory_follower::on_rows(const std::string& from,
+                                 const table_rows& rows, time_point now,
+                                 actions& out) {
+    if (rows.rows.size() > most_page_rows) {
+        changes_.rejected.push_back("table message from " + from + " with " +
+                                    std::to_string(rows.rows.size()) +
+                                    " rows was dropped");
+        return;
+    }
+    apply(rows.rows, now);
+    for (const auto& row : rows.rows) {
+        held_.erase(row.key);
+    }
+    if (rows.age > options_.silence) {
+        return; // the sender is behind
+    }
+    if (rows.digest == directory_.digest()) {
+        differs_since_.reset();
+        told_at_ = std::max(told_at_.value_or(time_point{}), now - rows.age);
+        return;
+    }
+    if (!differs_since_) {
+        differs_since_ = now;
+    }
+    if (now - *differs_since_ > difference_bearable && now >= next_request_) {
+        next_request_ = now + request_pause;
+        out.emplace_back(
+            send_to_peer{from, table_request{0, ++request_number_}});
+    }
+}
+
+void directory_follower::send_heartbeats(time_point now, actions& out) {
+    heartbeat beat;
+    beat.sender = members_.own();
+    beat.sequence = ++heartbeat_sequence_;
+    beat.members = members_.digest(digest_members, engine_, now);
+    for (auto& target : members_.heartbeat_targets(now)) {
+        out.emplace_back(send_to_peer{std::move(target), beat});
+    }
+}
+
+directory_follower::actions directory_follower::begin_stop(time_point now) {
+    actions out;
+    leaving_ = true;
+    members_.set_leaving();
+    heartbeat beat;
+    beat.sender = members_.own();
+    beat.sequence = ++heartbeat_sequence_;
+    for (const auto& peer : members_.members(now)) {
+        out.emplace_back(send_to_peer{peer.peer_address, beat});
+    }
+    return out;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/knowledge/routing.cpp
@@ -0,0 +1,219 @@
+#include "lacewingbeam/routing.hpp"
+
+#include <boost/algorithm/string.hpp>
+#include <charconv>
+
+namespace lacewingbeam {
+
+namespace {
+
+// One cell holds one route or service: "field=value" separated by spaces.
+constexpr std::string_view route_cell = "route ";
+constexpr std::string_view service_cell = "service ";
+constexpr std::string_view version_cell = "version";
+constexpr std::string_view limits_cell = "limits";
+
+std::int64_t to_count(duration value) {
+    return value.count();
+}
+
+[[noreturn]] void reject(std::string_view cell, const std::string& problem) {
+    throw table_error("row " + std::string(routing_row_key) + ", cell \"" +
+                      std::string(cell) + "\": " + problem);
+}
+
+// The fields of one cell.
+class field_reader {
+public:
+    explicit field_reader(const cell& source) : cell_(source.name) {
+        std::vector<std::string> parts;
+        boost::algorithm::split(parts, source.value,
+                                [](char c) { return c == ' '; });
+        for (const auto& part : parts) {
+            const auto equals = part.find('=');
+            if (equals == std::string::npos) {
+                reject(cell_, "\"" + part + "\" is not field=value");
+            }
+            fields_[part.substr(0, equals)] = part.substr(equals + 1);
+        }
+    }
+
+    const std::string& text(const std::string& name) const {
+        const auto found = fields_.find(name);
+        if (found == fields_.end()) {
+            reject(cell_, "field \"" + name + "\" is missing");
+        }
+        return found->second;
+    }
+
+    bool has(const std::string& name) const { return fields_.contains(name); }
+
+    template <class Number> Number number(const std::string& name) const {
+        return to_number<Number>(name, text(name));
+    }
+
+    template <class Number>
+    Number to_number(const std::string& name, std::string_view text) const {
+        Number value{};
+        const char* end = text.data() + text.size();
+        const auto result = std::from_chars(text.data(), end, value);
+        if (result.ec != std::errc{} || result.ptr != end) {
+            reject(cell_, "field \"" + name + "\": \"" + std::string(text) +
+                              "\" is not a number");
+        }
+        return value;
+    }
+
+    duration time(const std::string& name) const {
+        return duration(number<duration::rep>(name));
+    }
+
+private:
+    std::string cell_;
+    std::map<std::string, std::string, std::less<>> fields_;
+};
+
+std::string write_services(const std::vector<weighted_service>& services) {
+    std::string text;
+    for (const auto& part : services) {
+        text += (text.empty() ? "" : ",") + part.service + ":" +
+                std::to_string(part.weight);
+    }
+    return text;
+}
+
+std::vector<weighted_service> read_services(const field_reader& fields) {
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, fields.text("services"),
+                            [](char c) { return c == ','; });
+    std::vector<weighted_service> services;
+    for (const auto& part : parts) {
+        const auto colon = part.rfind(':');
+        const auto weight = colon == std::string::npos
+                                ? std::string_view("1")
+                                : std::string_view(part).substr(colon + 1);
+        services.push_back({part.substr(0, colon),
+                            fields.to_number<double>("services", weight)});
+    }
+    return services;
+}
+
+std::string write_route(const route& value) {
+    std::string text =
+        "host=" + value.host + " prefix=" + value.prefix + " repeats=" +
+        (value.repeats == repetition::repeatable ? "yes" : "no") +
+        " attempts=" + std::to_string(value.max_attempts) +
+        " priority=" + std::to_string(value.priority) +
+        " services=" + write_services(value.services);
+    if (value.time_limit) {
+        text += " limit=" + std::to_string(to_count(*value.time_limit));
+    }
+    if (value.objective) {
+        text += " objective=" + std::to_string(to_count(*value.objective));
+    }
+    return text;
+}
+
+route read_route(const cell& source) {
+    const field_reader fields(source);
+    route value;
+    value.name = source.name.substr(route_cell.size());
+    value.host = fields.text("host");
+    value.prefix = fields.text("prefix");
+    value.repeats = fields.text("repeats") == "yes" ? repetition::repeatable
+                                                    : repetition::at_most_once;
+    value.max_attempts = fields.number<unsigned>("attempts");
+    value.priority = fields.number<unsigned>("priority");
+    value.services = read_services(fields);
+    if (fields.has("limit")) {
+        value.time_limit = fields.time("limit");
+    }
+    if (fields.has("objective")) {
+        value.objective = fields.time("objective");
+    }
+    return value;
+}
+
+std::string write_limits(const caller_limits& limits) {
+    return "header_bytes=" + std::to_string(limits.max_header_bytes) +
+           " body_bytes=" + std::to_string(limits.max_body_bytes) +
+           " header_timeout=" +
+           std::to_string(to_count(limits.header_timeout)) +
+           " idle_timeout=" + std::to_string(to_count(limits.idle_timeout));
+}
+
+caller_limits read_limits(const cell& source) {
+    const field_reader fields(source);
+    caller_limits limits;
+    limits.max_header_bytes = fields.number<std::size_t>("header_bytes");
+    limits.max_body_bytes = fields.number<std::size_t>("body_bytes");
+    limits.header_timeout = fields.time("header_timeout");
+    limits.idle_timeout = fields.time("idle_timeout");
+    return limits;
+}
+
+} // namespace
+
+const route* routing_table::match(std::string_view host,
+                                  std::string_view path) const {
+    const auto name = host.substr(0, host.find(':'));
+    const route* best = nullptr;
+    for (const auto& item : routes) {
+        const bool longer =
+            best == nullptr || item.prefix.size() > best->prefix.size();
+        if (longer && path.starts_with(item.prefix) &&
+            boost::algorithm::iequals(item.host, name)) {
+            best = &item;
+        }
+    }
+    return best;
+}
+
+const service_terms&
+routing_table::terms_of(std::string_view service) const {
+    static const service_terms defaults;
+    const auto found = services.find(service);
+    return found == services.end() ? defaults : found->second;
+}
+
+raw_row make_row(const routing_table& table, std::uint64_t revision) {
+    raw_row row;
+    row.key = routing_row_key;
+    row.version = revision;
+    row.cells.push_back({std::string(version_cell), table.version});
+    row.cells.push_back(
+        {std::string(limits_cell), write_limits(table.limits)});
+    for (const auto& item : table.routes) {
+        row.cells.push_back(
+            {std::string(route_cell) + item.name, write_route(item)});
+    }
+    for (const auto& [name, terms] : table.services) {
+        row.cells.push_back(
+            {std::string(service_cell) + name,
+             "health=" + terms.health_path +
+                 " connections=" + std::to_string(terms.max_connections)});
+    }
+    return row;
+}
+
+routing_table parse_routing(const raw_row& row) {
+    routing_table table;
+    for (const auto& item : row.cells) {
+        if (item.name == version_cell) {
+            table.version = item.value;
+        } else if (item.name == limits_cell) {
+            table.limits = read_limits(item);
+        } else if (item.name.starts_with(route_cell)) {
+            table.routes.push_back(read_route(item));
+        } else if (item.name.starts_with(service_cell)) {
+            const field_reader fields(item);
+            table.services[item.name.substr(service_cell.size())] = {
+                fields.text("health"), fields.number<unsigned>("connections")};
+        } else {
+            reject(item.name, "the cell is not known");
+        }
+    }
+    return table;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/placing/expected_time.cpp
@@ -0,0 +1,56 @@
+#include "lacewingbeam/expected_time.hpp"
+
+#include <algorithm>
+
+namespace lacewingbeam {
+
+namespace {
+
+// Servers with more than this part of their slots in use slow down, by about
+// this factor.
+constexpr double crowded_part = 0.8;
+constexpr double crowded_factor = 1.6;
+
+// Servers that have just started take about twice as long.
+constexpr double cold_factor = 2;
+
+// A request to another failure domain and its answer, in milliseconds: two
+// crossings of 1 ms, and the price of the bytes.
+constexpr double remote_ms = 4;
+
+// A request that fails costs about this many objectives.
+constexpr double failure_objectives = 3;
+
+unsigned occupied(const placement_view& view) {
+    return view.load.running + view.sent_since;
+}
+
+} // namespace
+
+bool has_free_slot(const placement_view& view) {
+    return view.load.waiting == 0 && occupied(view) < view.load.slots;
+}
+
+double expected_time_ms(const placement_view& view) {
+    const double slots = std::max(1U, view.load.slots);
+    double work = view.work_ms * view.load.slowness;
+    if (view.cold) {
+        work *= cold_factor;
+    }
+    const double after = occupied(view) + 1;
+    if (after > crowded_part * slots) {
+        work *= crowded_factor;
+    }
+    double total = work;
+    if (!has_free_slot(view)) {
+        const double ahead =
+            std::max(0.0, after - slots) + view.load.waiting;
+        total += work * std::max(1.0, ahead) / slots;
+    }
+    if (!view.same_domain) {
+        total += remote_ms;
+    }
+    return total + view.distrust * failure_objectives * view.objective_ms;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/placing/repeat_budget.cpp
@@ -0,0 +1,49 @@
+#include "lacewingbeam/repeat_budget.hpp"
+
+#include <algorithm>
+
+namespace lacewingbeam {
+
+namespace {
+
+// Left for sends whose arrival is delayed into the next window, and for
+// instances that have only just been heard of.
+constexpr double used_part = 0.85;
+
+void drop_before(std::deque<time_point>& times, time_point limit) {
+    while (!times.empty() && times.front() < limit) {
+        times.pop_front();
+    }
+}
+
+} // namespace
+
+void repeat_budget::forget_old(time_point now) {
+    drop_before(requests_, now - terms_.window);
+    drop_before(repeats_, now - terms_.window);
+}
+
+void repeat_budget::on_request(time_point now) {
+    forget_old(now);
+    requests_.push_back(now);
+}
+
+bool repeat_budget::has_room(std::size_t instances, time_point now) {
+    forget_old(now);
+    const double share =
+        terms_.slack / static_cast<double>(std::max<std::size_t>(1, instances));
+    const double allowed =
+        used_part *
+        (terms_.ratio * static_cast<double>(requests_.size()) + share);
+    return static_cast<double>(repeats_.size()) + 1 <= allowed;
+}
+
+bool repeat_budget::try_take(std::size_t instances, time_point now) {
+    if (!has_room(instances, now)) {
+        return false;
+    }
+    repeats_.push_back(now);
+    return true;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/placing/request_placing.cpp
@@ -0,0 +1,412 @@
+#include "lacewingbeam/request_router.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
+
+// How the request router chooses a backend server.
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Older samples say nothing of servers whose load changes within
+// milliseconds.
+constexpr duration sample_life = milliseconds(4);
+
+// Distrust halves in this time without a new failure.
+constexpr double distrust_half_life_s = 2;
+constexpr double distrust_gain = 0.5;
+constexpr double trust_gain = 0.4;
+constexpr double hopeless_distrust = 0.7;
+
+// A server that does not answer a probe is asked again after this time.
+constexpr duration silence_pause = milliseconds(600);
+
+constexpr double probe_burst = 12;
+
+// The part of the probe budget that is used; the rest covers instances that
+// have started meanwhile.
+constexpr double probe_part = 0.9;
+
+// Rounds of probes before a request goes to the best server known.
+constexpr unsigned most_rounds = 3;
+
+// Time between two looks for a free slot.
+constexpr duration look_interval = milliseconds(15);
+
+// A request waits here for a free slot for this part of its objective.
+constexpr int waiting_part = 8;
+
+// Equally good servers are taken in turn, not always the first.
+constexpr double score_spread = 0.03;
+
+// A time this near to the best possible is not worth waiting for more probes.
+constexpr double good_enough_factor = 1.1;
+
+constexpr unsigned least_connections = 2;
+
+double initial_work_ms(duration objective) {
+    constexpr double part = 0.35;
+    return part * to_ms(objective);
+}
+
+template <class... Visitors> struct overloaded : Visitors... {
+    using Visitors::operator()...;
+};
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+} // namespace
+
+request_router::server_entry& request_router::entry_of(const std::string& id) {
+    return servers_[id];
+}
+
+void request_router::on_servers_changed(std::span<const std::string> ids) {
+    for (const auto& id : ids) {
+        const auto found = servers_.find(id);
+        if (directory_.find(id) == nullptr && found != servers_.end() &&
+            found->second.in_flight == 0) {
+            servers_.erase(found);
+        }
+    }
+}
+
+double request_router::distrust_of(const server_entry& entry,
+                                   time_point now) const {
+    const std::chrono::duration<double> passed = now - entry.distrust_at;
+    return entry.distrust *
+           std::exp2(-passed.count() / distrust_half_life_s);
+}
+
+void request_router::note_outcome(const std::string& server, bool good,
+                                  double weight, time_point now) {
+    auto& entry = entry_of(server);
+    const double before = distrust_of(entry, now);
+    entry.distrust = good ? before * (1 - trust_gain)
+                          : before + distrust_gain * weight * (1 - before);
+    entry.distrust_at = now;
+}
+
+double request_router::work_of(const request_entry& request) {
+    const auto& learned = entry_of_service(request.service).work_ms;
+    const auto found = learned.find(request.route);
+    return found == learned.end() ? initial_work_ms(request.objective)
+                                  : found->second;
+}
+
+placement_view request_router::view_of(const request_entry& request,
+                                       const known_server& server,
+                                       time_point now) {
+    auto& entry = entry_of(server.info.id);
+    placement_view view;
+    view.load.slots = server.info.slots;
+    view.load.running = entry.in_flight;
+    if (entry.load) {
+        view.load = *entry.load;
+        view.sent_since = entry.sent_since;
+    }
+    view.cold = now < server.cold_until;
+    view.same_domain =
+        server.info.failure_domain == options_.failure_domain;
+    view.distrust = distrust_of(entry, now);
+    view.work_ms = work_of(request);
+    view.objective_ms = to_ms(request.objective);
+    return view;
+}
+
+std::vector<const known_server*>
+request_router::candidates(const request_entry& request) {
+    auto found = directory_.available(request.service);
+    std::erase_if(found, [&](const known_server* server) {
+        return std::find(request.tried.begin(), request.tried.end(),
+                         server->info.id) != request.tried.end();
+    });
+    return found;
+}
+
+void request_router::begin_round(request_entry& request, time_point now,
+                                 actions& out) {
+    ++request.rounds;
+    struct visitor {
+        request_router& self;
+        request_entry& request;
+        time_point now;
+        actions& out;
+
+        void operator()(const place_at_random&) const {
+            self.decide(request, now, out);
+        }
+        void operator()(const place_by_two_choices&) const {
+            self.decide(request, now, out);
+        }
+        void operator()(const place_by_expected_time& policy) const {
+            self.send_probes(request, policy.probes, policy.probe_timeout, now,
+                             out);
+        }
+    };
+    std::visit(visitor{*this, request, now, out}, options_.policy);
+}
+
+void request_router::send_probes(request_entry& request, unsigned count,
+                                 duration timeout, time_point now,
+                                 actions& out) {
+    auto servers = candidates(request);
+    std::erase_if(servers, [&](const known_server* server) {
+        const auto& id = server->info.id;
+        return now < entry_of(id).silent_until ||
+               std::find(request.probed.begin(), request.probed.end(), id) !=
+                   request.probed.end();
+    });
+    request.pending.clear();
+    const double rate = probe_part * options_.probes_per_second /
+                        static_cast<double>(std::max<std::size_t>(
+                            1, instances_));
+    unsigned sent = 0;
+    while (sent < count && !servers.empty()) {
+        boost::random::uniform_int_distribution<std::size_t> draw(
+            0, servers.size() - 1);
+        const auto at = servers.begin() +
+                        static_cast<std::ptrdiff_t>(draw(engine_));
+        const auto& server = **at;
+        servers.erase(at);
+        auto& entry = entry_of(server.info.id);
+        if (distrust_of(entry, now) > hopeless_distrust && !servers.empty()) {
+            continue;
+        }
+        if (!entry.probes) {
+            entry.probes =
+                std::make_unique<token_bucket>(rate, probe_burst, now);
+        }
+        entry.probes->set_rate(rate, now);
+        if (!entry.probes->try_take(now)) {
+            continue;
+        }
+        const auto id = probe_id{next_probe_++};
+        probes_[id] = {request.id, server.info.id};
+        request.pending.push_back(id);
+        request.probed.push_back(server.info.id);
+        const auto share = request.max_connections /
+                           std::max<std::size_t>(1, instances_);
+        out.emplace_back(probe_order{
+            id, server.info.id, server.info.address, request.health_path,
+            std::max(least_connections, static_cast<unsigned>(share)),
+            timeout});
+        ++sent;
+    }
+    if (sent == 0) {
+        decide(request, now, out);
+        return;
+    }
+    request.decide_at = now + timeout;
+}
+
+request_router::actions
+request_router::on_load(std::string_view server,
+                        const server_load_sample& load, time_point now) {
+    auto& entry = entry_of(std::string(server));
+    entry.load = load;
+    entry.load_at = now;
+    entry.sent_since = 0;
+    return {};
+}
+
+request_router::actions
+request_router::on_probe_answered(probe_id id, const server_load_sample& load,
+                                  time_point now) {
+    actions out;
+    const auto found = probes_.find(id);
+    if (found == probes_.end()) {
+        return out;
+    }
+    const auto server = found->second.server;
+    on_load(server, load, now);
+    entry_of(server).silent_until = time_point{};
+    probe_settled(id, now, out);
+    return out;
+}
+
+request_router::actions request_router::on_probe_failed(probe_id id,
+                                                        bool refused,
+                                                        time_point now) {
+    actions out;
+    const auto found = probes_.find(id);
+    if (found == probes_.end()) {
+        return out;
+    }
+    const auto server = found->second.server;
+    auto& entry = entry_of(server);
+    entry.load.reset();
+    entry.silent_until = now + silence_pause;
+    if (refused) {
+        constexpr double refusal_weight = 0.5;
+        note_outcome(server, false, refusal_weight, now);
+    }
+    probe_settled(id, now, out);
+    return out;
+}
+
+void request_router::probe_settled(probe_id id, time_point now,
+                                   actions& out) {
+    const auto probe = probes_.at(id);
+    probes_.erase(id);
+    const auto found = requests_.find(probe.call);
+    if (found == requests_.end()) {
+        return;
+    }
+    auto& request = found->second;
+    if (std::erase(request.pending, id) == 0 || !request.decide_at) {
+        return;
+    }
+    if (request.pending.empty() ||
+        good_enough(request, probe.server, now)) {
+        decide(request, now, out);
+    }
+}
+
+bool request_router::good_enough(const request_entry& request,
+                                 const std::string& server, time_point now) {
+    const auto* known = directory_.find(server);
+    const auto& entry = entry_of(server);
+    if (known == nullptr || known->info.leaving || !entry.load) {
+        return false;
+    }
+    const auto view = view_of(request, *known, now);
+    return expected_time_ms(view) <= good_enough_factor * view.work_ms;
+}
+
+std::vector<request_router::scored_server>
+request_router::score(const request_entry& request, time_point now) {
+    boost::random::uniform_real_distribution<double> spread(1,
+                                                            1 + score_spread);
+    std::vector<scored_server> scored;
+    for (const auto* server : candidates(request)) {
+        const auto& entry = entry_of(server->info.id);
+        const auto view = view_of(request, *server, now);
+        scored_server item;
+        item.id = server->info.id;
+        item.told = entry.load && now - entry.load_at <= sample_life +
+                                      milliseconds(12);
+        item.expected_ms = expected_time_ms(view) * spread(engine_);
+        item.free_slot = has_free_slot(view);
+        scored.push_back(std::move(item));
+    }
+    return scored;
+}
+
+void request_router::decide(request_entry& request, time_point now,
+                            actions& out) {
+    request.decide_at.reset();
+    request.pending.clear();
+    auto scored = score(request, now);
+    const bool running = !request.running.empty();
+    if (scored.empty()) {
+        if (!running) {
+            refuse(request,
+                   request.refused.value_or(
+                       not_run_reason::no_backend_server),
+                   now, out);
+        }
+        return;
+    }
+    const auto count = scored.size();
+    const auto pick_random = [&]() -> const scored_server& {
+        boost::random::uniform_int_distribution<std::size_t> draw(
+            0, scored.size() - 1);
+        return scored[draw(engine_)];
+    };
+    if (std::holds_alternative<place_at_random>(options_.policy)) {
+        place(request, pick_random(), count, now, out);
+        return;
+    }
+    if (std::holds_alternative<place_by_two_choices>(options_.policy)) {
+        const auto& a = pick_random();
+        const auto& b = pick_random();
+        place(request,
+              entry_of(a.id).in_flight <= entry_of(b.id).in_flight ? a : b,
+              count, now, out);
+        return;
+    }
+    const bool any_told =
+        std::any_of(scored.begin(), scored.end(),
+                    [](const scored_server& item) { return item.told; });
+    if (any_told) {
+        std::erase_if(scored,
+                      [](const scored_server& item) { return !item.told; });
+    } else {
+        std::erase_if(scored, [&](const scored_server& item) {
+            return now < entry_of(item.id).silent_until;
+        });
+        if (scored.empty()) {
+            if (!running && request.rounds < most_rounds) {
+                request.retry_at = now + look_interval;
+            } else if (!running) {
+                refuse(request, not_run_reason::no_backend_server, now, out);
+            }
+            return;
+        }
+        place(request, pick_random(), count, now, out);
+        return;
+    }
+    const auto best = *std::min_element(
+        scored.begin(), scored.end(),
+        [](const scored_server& a, const scored_server& b) {
+            return a.expected_ms < b.expected_ms;
+        });
+    const double left = to_ms(request.limit_at - now);
+    const double objective_left =
+        to_ms(request.arrived + request.objective - now);
+    if (running) {
+        if (best.free_slot) {
+            place(request, best, count, now, out);
+        }
+        return;
+    }
+    if (best.expected_ms > objective_left &&
+        now - request.arrived < request.objective / waiting_part &&
+        request.rounds < 2 * most_rounds) {
+        request.retry_at = now + look_interval;
+        return;
+    }
+    if (best.expected_ms > left) {
+        refuse(request, not_run_reason::queue_full, now, out);
+        return;
+    }
+    place(request, best, count, now, out);
+}
+
+void request_router::place(request_entry& request, const scored_server& chosen,
+                           std::size_t count, time_point now, actions& out) {
+    const auto& server = *directory_.find(chosen.id);
+    auto& entry = entry_of(chosen.id);
+    const auto id = attempt_id{next_attempt_++};
+    send_order order;
+    order.call = request.id;
+    order.attempt = id;
+    order.server = chosen.id;
+    order.service = request.service;
+    order.address = server.info.address;
+    order.time_left = request.limit_at - now;
+    const auto share =
+        request.max_connections / std::max<std::size_t>(1, instances_);
+    order.connections =
+        std::max(least_connections, static_cast<unsigned>(share));
+    order.repeatable = request.repeats == repetition::repeatable;
+    order.hedge = !request.running.empty();
+    order.load = entry.load.value_or(server_load_sample{});
+    order.load_age = entry.load ? now - entry.load_at : duration::max();
+    order.expected_ms = chosen.expected_ms;
+    order.candidates = count;
+    attempts_[id] = {request.id, chosen.id, now, order.load.slowness};
+    request.running.push_back(id);
+    request.tried.push_back(chosen.id);
+    ++request.attempts;
+    ++entry.in_flight;
+    ++entry.sent_since;
+    out.emplace_back(std::move(order));
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/decisions/placing/request_router.cpp
@@ -0,0 +1,323 @@
+#include "lacewingbeam/request_router.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+// The life of a request, from its arrival to its end.
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Callers that give no time are kept waiting at most this long.
+constexpr duration default_time_limit = std::chrono::seconds(30);
+
+// Where a route has no objective, this part of its time limit stands for it.
+constexpr int objective_part = 4;
+
+// The network's part of a caller's time: an answer that leaves later is not
+// read any more.
+constexpr duration answer_transit = milliseconds(10);
+
+} // namespace
+
+request_router::request_router(const directory& known, router_options options,
+                               std::uint64_t seed)
+    : directory_(known), options_(std::move(options)), engine_(seed) {}
+
+const std::string& request_router::pick_service(const route& chosen,
+                                                random_engine& engine) {
+    double sum = 0;
+    for (const auto& part : chosen.services) {
+        sum += part.weight;
+    }
+    boost::random::uniform_real_distribution<double> draw(0, sum);
+    double left = sum > 0 ? draw(engine) : 0;
+    for (const auto& part : chosen.services) {
+        if (left < part.weight) {
+            return part.service;
+        }
+        left -= part.weight;
+    }
+    return chosen.services.back().service;
+}
+
+request_router::service_entry&
+request_router::entry_of_service(const std::string& name) {
+    auto& entry = services_[name];
+    if (!entry.repeats) {
+        entry.repeats = std::make_unique<repeat_budget>(options_.repeats);
+    }
+    return entry;
+}
+
+request_router::actions request_router::submit(const routed_request& request,
+                                               time_point now) {
+    actions out;
+    const auto refuse_arrival = [&](not_run_reason reason) {
+        out.emplace_back(
+            finish_order{request.id, not_run{reason}, std::nullopt});
+    };
+    const auto* table = directory_.routing();
+    if (table == nullptr) {
+        refuse_arrival(not_run_reason::table_unconfirmed);
+        return out;
+    }
+    const auto* chosen = table->match(request.host, request.path);
+    if (chosen == nullptr || chosen->services.empty()) {
+        refuse_arrival(not_run_reason::unknown_service);
+        return out;
+    }
+    if (requests_.size() >= options_.max_requests) {
+        refuse_arrival(not_run_reason::queue_full);
+        return out;
+    }
+    request_entry entry;
+    entry.id = request.id;
+    entry.route = chosen->name;
+    entry.service = pick_service(*chosen, engine_);
+    const auto& terms = table->terms_of(entry.service);
+    entry.health_path = terms.health_path;
+    entry.max_connections = terms.max_connections;
+    entry.repeats = chosen->repeats;
+    entry.max_attempts = std::max(1U, chosen->max_attempts);
+    entry.arrived = now;
+    auto limit = chosen->time_limit.value_or(default_time_limit);
+    if (request.caller_time_left) {
+        limit = std::min(limit, *request.caller_time_left - answer_transit);
+    }
+    entry.limit_at = now + limit;
+    entry.objective = chosen->objective.value_or(limit / objective_part);
+    entry_of_service(entry.service).repeats->on_request(now);
+    auto& kept = requests_[entry.id] = std::move(entry);
+    if (limit <= duration::zero()) {
+        finish(kept, not_run{not_run_reason::deadline_passed}, std::nullopt,
+               out);
+        return out;
+    }
+    begin_round(kept, now, out);
+    return out;
+}
+
+request_router::actions
+request_router::on_attempt_ended(attempt_id id, const attempt_end& result,
+                                 time_point now) {
+    actions out;
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return out;
+    }
+    const auto attempt = found->second;
+    attempts_.erase(found);
+    auto& server = entry_of(attempt.server);
+    server.in_flight -= std::min(1U, server.in_flight);
+    auto& request = requests_.at(attempt.call);
+    std::erase(request.running, id);
+    if (const auto* answered = std::get_if<attempt_answered>(&result)) {
+        note_outcome(attempt.server, !answered->server_error, 1, now);
+        const bool again = answered->server_error &&
+                           request.repeats == repetition::repeatable;
+        if (again && !request.running.empty()) {
+            request.lost = may_have_run_reason::connection_lost;
+            return out; // the other attempt may still succeed
+        }
+        if (again && may_repeat(request, now)) {
+            begin_round(request, now, out);
+            return out;
+        }
+        if (!answered->server_error) {
+            auto& work = entry_of_service(request.service)
+                             .work_ms.try_emplace(request.route,
+                                                  work_of(request))
+                             .first->second;
+            constexpr double new_part = 0.1;
+            const double seen = to_ms(now - attempt.sent_at) /
+                                std::max(1.0, attempt.slowness);
+            work += new_part * (seen - work);
+        }
+        out.emplace_back(deliver_order{request.id, id});
+        drop(request.id, id, out);
+        return out;
+    }
+    if (const auto* refused = std::get_if<attempt_not_run>(&result)) {
+        request.refused = refused->reason;
+        // A server that was about to have room refuses now and then; one
+        // that is not what it says it is refuses always.
+        constexpr double shed_weight = 0.4;
+        note_outcome(attempt.server, false, shed_weight, now);
+    } else {
+        request.lost = std::get<attempt_unknown>(result).reason;
+        note_outcome(attempt.server, false, 1, now);
+    }
+    if (request.running.empty() && !request.decide_at) {
+        send_again_or_finish(request, now, out);
+    }
+    return out;
+}
+
+bool request_router::may_repeat(request_entry& request, time_point now) {
+    if (request.attempts >= request.max_attempts || now >= request.limit_at) {
+        return false;
+    }
+    if (request.lost && request.repeats == repetition::at_most_once) {
+        return false;
+    }
+    return entry_of_service(request.service)
+        .repeats->try_take(instances_, now);
+}
+
+void request_router::send_again_or_finish(request_entry& request,
+                                          time_point now, actions& out) {
+    if (may_repeat(request, now)) {
+        begin_round(request, now, out);
+        return;
+    }
+    if (request.lost) {
+        finish(request, may_have_run{*request.lost}, std::nullopt, out);
+        return;
+    }
+    refuse(request, request.refused.value_or(not_run_reason::shed), now, out);
+}
+
+void request_router::refuse(request_entry& request, not_run_reason reason,
+                            time_point now, actions& out) {
+    if (request.lost) {
+        finish(request, may_have_run{*request.lost}, std::nullopt, out);
+        return;
+    }
+    finish(request, not_run{reason},
+           retry_time(request, work_of(request), now), out);
+}
+
+// When a slot is likely to be free again: about the time of one request, and
+// spread, so that callers do not come back together.
+duration request_router::retry_time(const request_entry& request,
+                                    double wait_ms, time_point now) {
+    boost::random::uniform_real_distribution<double> spread(0.5, 1.5);
+    const auto wait = duration(
+        static_cast<duration::rep>(wait_ms * spread(engine_) * 1000));
+    return std::min(wait, std::max(duration::zero(),
+                                   (request.limit_at - now) / 3));
+}
+
+void request_router::finish(request_entry& request, const verdict& outcome,
+                            std::optional<duration> retry_after,
+                            actions& out) {
+    out.emplace_back(finish_order{request.id, outcome, retry_after});
+    drop(request.id, std::nullopt, out);
+}
+
+// Forgets a request and ends its other attempts.
+void request_router::drop(call_id id, std::optional<attempt_id> keep,
+                          actions& out) {
+    const auto found = requests_.find(id);
+    for (const auto attempt : found->second.running) {
+        if (attempt == keep) {
+            continue;
+        }
+        out.emplace_back(cancel_order{attempt});
+        auto& server = entry_of(attempts_.at(attempt).server);
+        server.in_flight -= std::min(1U, server.in_flight);
+        attempts_.erase(attempt);
+    }
+    requests_.erase(found);
+}
+
+request_router::actions request_router::on_caller_gone(call_id id,
+                                                       time_point) {
+    actions out;
+    if (requests_.contains(id)) {
+        drop(id, std::nullopt, out);
+    }
+    return out;
+}
+
+std::optional<time_point>
+request_router::hedge_due(const request_entry& request) const {
+    if (options_.hedge_at <= 0 || request.hedged || request.decide_at ||
+        request.repeats != repetition::repeatable ||
+        request.running.size() != 1 ||
+        request.attempts >= request.max_attempts) {
+        return std::nullopt;
+    }
+    return request.arrived +
+           duration(static_cast<duration::rep>(
+               static_cast<double>(request.objective.count()) *
+               options_.hedge_at));
+}
+
+// A second server for a request that is late where it is.
+bool request_router::try_hedge(request_entry& request, time_point now,
+                               actions& out) {
+    request.hedged = true;
+    if (!may_repeat(request, now)) {
+        return false;
+    }
+    begin_round(request, now, out);
+    return true;
+}
+
+time_point request_router::due_of(const request_entry& request) const {
+    auto due = request.limit_at;
+    if (request.decide_at) {
+        due = std::min(due, *request.decide_at);
+    }
+    if (request.retry_at) {
+        due = std::min(due, *request.retry_at);
+    }
+    if (const auto hedge = hedge_due(request)) {
+        due = std::min(due, *hedge);
+    }
+    return due;
+}
+
+std::optional<time_point> request_router::next_due() const {
+    std::optional<time_point> due;
+    for (const auto& [id, request] : requests_) {
+        const auto one = due_of(request);
+        due = due ? std::min(*due, one) : one;
+    }
+    return due;
+}
+
+request_router::actions request_router::on_tick(time_point now) {
+    actions out;
+    std::vector<call_id> due;
+    for (const auto& [id, request] : requests_) {
+        if (due_of(request) <= now) {
+            due.push_back(id);
+        }
+    }
+    for (const auto id : due) {
+        auto& request = requests_.at(id);
+        if (now >= request.limit_at) {
+            const bool sent = !request.running.empty();
+            if (sent) {
+                for (const auto attempt : request.running) {
+                    note_outcome(attempts_.at(attempt).server, false, 1, now);
+                }
+                request.lost = may_have_run_reason::answer_timeout;
+            }
+            if (request.lost) {
+                finish(request, may_have_run{*request.lost}, std::nullopt,
+                       out);
+            } else {
+                finish(request, not_run{not_run_reason::deadline_passed},
+                       std::nullopt, out);
+            }
+        } else if (request.decide_at && now >= *request.decide_at) {
+            decide(request, now, out);
+        } else if (request.retry_at && now >= *request.retry_at) {
+            request.retry_at.reset();
+            request.probed.clear();
+            begin_round(request, now, out);
+        } else if (hedge_due(request)) {
+            try_hedge(request, now, out);
+        }
+    }
+    return out;
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/router/directory_sync.hpp
@@ -0,0 +1,75 @@
+#ifndef LACEWINGBEAM_ROUTER_DIRECTORY_SYNC_HPP
+#define LACEWINGBEAM_ROUTER_DIRECTORY_SYNC_HPP
+
+#include "adapters/connection_pool.hpp"
+#include "adapters/event_loop.hpp"
+#include "adapters/metrics.hpp"
+#include "adapters/peer_link.hpp"
+#include "lacewingbeam/directory_follower.hpp"
+#include "platform_binding.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+
+// Carries the directory's reads to the store and its messages to the peers.
+namespace lacewingbeam {
+
+struct sync_options {
+    std::string store_address;
+    duration request_timeout = std::chrono::milliseconds(600);
+};
+
+class directory_sync {
+public:
+    directory_sync(event_loop& loop, const platform_binding& platform,
+                   directory_follower& follower, peer_link& peers,
+                   metrics& counts, sync_options options);
+
+    void start();
+    void begin_stop();
+
+    // Routes or backend servers changed.
+    sigc::signal<void(const directory::change&)> changed;
+
+private:
+    struct read_state {
+        bool snapshot = false;
+        std::string body;
+        int status = 0;
+        exchange_id exchange{};
+        std::optional<store_answer> collected; // earlier parts of a snapshot
+        time_point give_up_at;
+        bool active = false;
+        bool failing = false;
+        scoped_event timeout;
+    };
+
+    void carry_out(directory_follower::actions actions);
+    void run(const read_snapshot& order);
+    void run(const read_changes& order);
+    void run(const send_to_peer& order);
+    void begin_read(store_table table, const std::string& target,
+                    bool snapshot, duration wait);
+    void on_end(store_table table);
+    void on_failed(store_table table, std::string_view reason,
+                   store_failure failure);
+    void finish_page(store_table table, store_answer answer);
+    void publish();
+    void schedule();
+    read_state& state_of(store_table table);
+
+    event_loop& loop_;
+    const platform_binding& platform_;
+    directory_follower& follower_;
+    peer_link& peers_;
+    metrics& counts_;
+    sync_options options_;
+    connection_pool pool_;
+    std::array<read_state, store_table_count> reads_;
+    scoped_event timer_;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/router/request_gateway.cpp
@@ -0,0 +1,259 @@
+#include "request_gateway.hpp"
+
+#include <charconv>
+
+// The callers' side: requests, decisions carried out, and answers.
+namespace lacewingbeam {
+
+namespace {
+
+constexpr std::size_t max_header_bytes = 65536;
+
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+pool_options make_pool_options() {
+    pool_options options;
+    // An opening packet that is dropped is sent again only after a second;
+    // another backend server answers sooner.
+    options.connect_timeout = std::chrono::milliseconds(150);
+    // The request's own limit ends silent answers.
+    options.stall_timeout = std::chrono::hours(1);
+    // Backend servers close idle connections after some 10 s.
+    options.idle_timeout = std::chrono::seconds(7);
+    options.max_header_bytes = max_header_bytes;
+    options.unmarked_end = true;
+    return options;
+}
+
+std::optional<duration> read_time_left(std::optional<std::string_view> text) {
+    if (!text) {
+        return std::nullopt;
+    }
+    std::int64_t ms = 0;
+    const char* end = text->data() + text->size();
+    const auto result = std::from_chars(text->data(), end, ms);
+    if (result.ec != std::errc{} || result.ptr != end || ms < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(ms);
+}
+
+// evhttp reads no body of these methods; what follows would be taken for the
+// next request.
+bool has_unread_body(const incoming_request& incoming,
+                     const header_list& headers) {
+    switch (incoming.method()) {
+    case EVHTTP_REQ_POST:
+    case EVHTTP_REQ_PUT:
+    case EVHTTP_REQ_PATCH:
+        return false;
+    default:
+        const auto length = find_header(headers, "Content-Length");
+        return find_header(headers, "Transfer-Encoding").has_value() ||
+               (length && *length != "0");
+    }
+}
+
+int status_of(const verdict& outcome) {
+    if (const auto* refused = std::get_if<not_run>(&outcome)) {
+        return refused->reason == not_run_reason::unknown_service
+                   ? status_not_found
+                   : status_unavailable;
+    }
+    const auto* unknown = std::get_if<may_have_run>(&outcome);
+    return unknown != nullptr &&
+                   unknown->reason == may_have_run_reason::answer_timeout
+               ? status_gateway_timeout
+               : status_bad_gateway;
+}
+
+std::string seconds_text(duration value) {
+    constexpr double ms_per_second = 1000;
+    return std::to_string(to_ms(value) / ms_per_second);
+}
+
+} // namespace
+
+request_gateway::request_gateway(event_loop& loop,
+                                 const platform_binding& platform,
+                                 request_router& router, metrics& counts)
+    : loop_(loop), platform_(platform), router_(router), counts_(counts),
+      log_(loop.now()), pool_(loop, make_pool_options()) {
+    timer_ =
+        loop.make_timer([this] { carry_out(router_.on_tick(loop_.now())); });
+}
+
+void request_gateway::begin_stop() {
+    stopping_ = true;
+    pool_.stop_keeping();
+}
+
+void request_gateway::wake() {
+    schedule();
+}
+
+void request_gateway::schedule() {
+    const auto due = router_.next_due();
+    if (due) {
+        event_loop::schedule(timer_, *due - loop_.now());
+    }
+}
+
+http_request
+request_gateway::make_outgoing(const incoming_request& incoming) const {
+    http_request request;
+    request.method = incoming.method();
+    request.target = std::string(incoming.target());
+    const auto headers = incoming.headers();
+    const auto named = find_header(headers, "Connection");
+    for (const auto& field : headers) {
+        const bool set_here =
+            equal_ignoring_case(field.name,
+                                platform_.headers.time_left_ms) ||
+            equal_ignoring_case(field.name,
+                                platform_.headers.expected_server);
+        const bool for_connection =
+            is_hop_by_hop(field.name) ||
+            (named && equal_ignoring_case(*named, field.name));
+        if (!set_here && !for_connection) {
+            request.headers.push_back(field);
+        }
+    }
+    if (const auto host = find_header(headers, "Host")) {
+        request.headers.push_back({"Host", std::string(*host)});
+    }
+    request.body = incoming.body();
+    if (!request.body.empty()) {
+        request.headers.push_back(
+            {"Content-Length", std::to_string(request.body.size())});
+    }
+    return request;
+}
+
+void request_gateway::on_request(std::shared_ptr<incoming_request> incoming) {
+    const auto id = call_id{next_call_++};
+    const auto now = loop_.now();
+    const auto headers = incoming->headers();
+    auto& held = requests_[id];
+    held.incoming = incoming;
+    held.arrived = now;
+    held.id = find_header(headers, platform_.headers.request_id).value_or("");
+    if (has_unread_body(*incoming, headers)) {
+        log_.write(event_number::request_finished,
+                   {{"id", held.id},
+                    {"status", std::to_string(status_bad_request)},
+                    {"reason", "body of a method that has none"}},
+                   now);
+        answer(held, status_bad_request, {{"Connection", "close"}}, "");
+        forget(requests_.find(id));
+        return;
+    }
+    held.outgoing = make_outgoing(*incoming);
+    incoming->gone.connect([this, id] {
+        const auto found = requests_.find(id);
+        if (found == requests_.end()) {
+            return;
+        }
+        log_.write(event_number::caller_gone,
+                   {{"id", found->second.id},
+                    {"after_ms",
+                     std::to_string(to_ms(loop_.now() -
+                                          found->second.arrived))}},
+                   loop_.now());
+        forget(found);
+        carry_out(router_.on_caller_gone(id, loop_.now()));
+    });
+    routed_request request;
+    request.id = id;
+    request.host = find_header(headers, "Host").value_or("");
+    const auto target = incoming->target();
+    request.path = target.substr(0, target.find('?'));
+    request.caller_time_left =
+        read_time_left(find_header(headers, platform_.headers.time_left_ms));
+    carry_out(router_.submit(request, now));
+}
+
+void request_gateway::carry_out(const request_router::actions& actions) {
+    for (const auto& item : actions) {
+        std::visit([this](const auto& order) { run(order); }, item);
+    }
+    schedule();
+}
+
+void request_gateway::run(const deliver_order& order) {
+    const auto found = requests_.find(order.call);
+    const auto attempt = attempts_.find(order.attempt);
+    if (found == requests_.end() || attempt == attempts_.end()) {
+        return;
+    }
+    auto held = std::move(attempt->second);
+    attempts_.erase(attempt);
+    header_list headers;
+    for (const auto& field : held.head.headers) {
+        if (!is_hop_by_hop(field.name) &&
+            !equal_ignoring_case(field.name, platform_.headers.load)) {
+            headers.push_back(field);
+        }
+    }
+    const auto now = loop_.now();
+    counts_.count_call(held.service, completed{},
+                       now - found->second.arrived);
+    log_.write(event_number::request_finished,
+               {{"id", found->second.id},
+                {"status", std::to_string(held.head.status)},
+                {"server", held.server},
+                {"bytes", std::to_string(held.body.size())},
+                {"ms", std::to_string(to_ms(now - found->second.arrived))}},
+               now);
+    answer(found->second, held.head.status, std::move(headers), held.body);
+    forget(found);
+}
+
+void request_gateway::run(const finish_order& order) {
+    const auto found = requests_.find(order.call);
+    if (found == requests_.end()) {
+        return;
+    }
+    const auto now = loop_.now();
+    const int status = status_of(order.outcome);
+    header_list headers;
+    if (order.retry_after) {
+        headers.push_back({"Retry-After", seconds_text(*order.retry_after)});
+    }
+    const auto& service = found->second.service;
+    counts_.count_call(service.empty() ? "unknown" : service, order.outcome,
+                       now - found->second.arrived);
+    log_.write(
+        event_number::request_finished,
+        {{"id", found->second.id},
+         {"status", std::to_string(status)},
+         {"reason", std::string(reason_name(order.outcome))},
+         {"retry_after_ms",
+          order.retry_after ? std::to_string(to_ms(*order.retry_after)) : "-"},
+         {"ms", std::to_string(to_ms(now - found->second.arrived))}},
+        now);
+    answer(found->second, status, std::move(headers), "");
+    forget(found);
+}
+
+void request_gateway::answer(held_request& request, int status,
+                             header_list headers, std::string_view body) {
+    if (stopping_) {
+        headers.push_back({"Connection", "close"});
+    }
+    request.incoming->reply(status, headers, body);
+}
+
+void request_gateway::forget(
+    std::map<call_id, held_request>::iterator request) {
+    // The request's own callback may be running.
+    loop_.defer([kept = request->second.incoming] {});
+    requests_.erase(request);
+    last_finished_ = loop_.now();
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/router/request_gateway.hpp
@@ -0,0 +1,105 @@
+#ifndef LACEWINGBEAM_ROUTER_REQUEST_GATEWAY_HPP
+#define LACEWINGBEAM_ROUTER_REQUEST_GATEWAY_HPP
+
+#include "adapters/connection_pool.hpp"
+#include "adapters/event_loop.hpp"
+#include "adapters/http_listener.hpp"
+#include "adapters/metrics.hpp"
+#include "lacewingbeam/request_router.hpp"
+#include "platform_binding.hpp"
+#include "request_log.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+// Carries requests between callers and backend servers as the request router
+// decides.
+namespace lacewingbeam {
+
+class request_gateway {
+public:
+    request_gateway(event_loop& loop, const platform_binding& platform,
+                    request_router& router, metrics& counts);
+
+    void on_request(std::shared_ptr<incoming_request> incoming);
+
+    // From now on every answer closes its connection.
+    void begin_stop();
+
+    // The directory changed.
+    void wake();
+
+    std::size_t requests() const { return requests_.size(); }
+    time_point last_finished() const { return last_finished_; }
+
+private:
+    struct held_request {
+        std::shared_ptr<incoming_request> incoming;
+        http_request outgoing; // what every backend server gets
+        std::string id;        // the caller's own
+        std::string service;
+        time_point arrived;
+    };
+
+    struct held_attempt {
+        call_id call{};
+        std::string server;
+        std::string service;
+        exchange_id exchange{};
+        http_answer_head head;
+        std::string body;
+        time_point sent_at;
+    };
+
+    struct held_probe {
+        std::string server;
+        std::string request_id;
+        exchange_id exchange{};
+        std::optional<server_load_sample> load;
+        bool refused = false;
+        scoped_event timeout;
+    };
+
+    void carry_out(const request_router::actions& actions);
+    void run(const probe_order& order);
+    void run(const send_order& order);
+    void run(const cancel_order& order);
+    void run(const deliver_order& order);
+    void run(const finish_order& order);
+    void schedule();
+
+    http_request make_outgoing(const incoming_request& incoming) const;
+    std::optional<std::string> find_fault(const held_request& request,
+                                          const http_answer_head& head) const;
+    void on_head(attempt_id id, const http_answer_head& head);
+    void on_body(attempt_id id, std::string_view piece);
+    void on_end(attempt_id id);
+    void on_failed(attempt_id id, const exchange_failure& failure);
+    void end_attempt(attempt_id id, const attempt_end& result,
+                     std::string_view detail);
+    void on_probe_head(probe_id id, const http_answer_head& head);
+    void end_probe(probe_id id);
+    void answer(held_request& request, int status, header_list headers,
+                std::string_view body);
+    void forget(std::map<call_id, held_request>::iterator request);
+
+    event_loop& loop_;
+    const platform_binding& platform_;
+    request_router& router_;
+    metrics& counts_;
+    request_log log_;
+    connection_pool pool_;
+    std::map<call_id, held_request> requests_;
+    std::map<attempt_id, held_attempt> attempts_;
+    std::map<probe_id, held_probe> probes_;
+    scoped_event timer_;
+    time_point last_finished_;
+    std::uint64_t next_call_ = 1;
+    bool stopping_ = false;
+};
+
+} // namespace lacewingbeam
+
+#endif
--- /dev/null
+++ b/src/router/router_process.cpp
@@ -0,0 +1,239 @@
+#include "router_process.hpp"
+
+#include "adapters/event_log.hpp"
+#include "lacewingbeam/endpoint.hpp"
+
+#include <boost/algorithm/string.hpp>
+#include <csignal>
+#include <random>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+constexpr duration upkeep_interval = milliseconds(250);
+constexpr duration stop_check_interval = milliseconds(50);
+
+// The balancer in front asks for readiness once a second and needs two bad
+// answers to send callers elsewhere.
+constexpr duration linger = milliseconds(3000);
+
+// The last answer's bytes have left the process after this time.
+constexpr duration flush_time = milliseconds(150);
+
+// The part of the time between SIGTERM and SIGKILL that is used.
+constexpr double grace_part = 0.95;
+
+std::uint64_t draw_seed() {
+    std::random_device device;
+    constexpr unsigned half = 32;
+    return (std::uint64_t{device()} << half) | device();
+}
+
+endpoint checked_endpoint(const std::string& text) {
+    return parse_endpoint(text).value(); // checked when settings were read
+}
+
+duration from_seconds(double value) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(value));
+}
+
+std::vector<std::string> split_list(const std::string& text) {
+    std::vector<std::string> items;
+    if (!text.empty()) {
+        boost::algorithm::split(items, text, [](char c) { return c == ','; });
+    }
+    for (auto& item : items) {
+        boost::algorithm::trim(item);
+    }
+    return items;
+}
+
+placing_policy make_policy(const settings::placing_section& values) {
+    if (values.policy == "random") {
+        return place_at_random{};
+    }
+    if (values.policy == "power_of_two") {
+        return place_by_two_choices{};
+    }
+    return place_by_expected_time{static_cast<unsigned>(values.probes),
+                                  milliseconds(values.probe_timeout)};
+}
+
+router_options make_router_options(const settings::router_settings& values) {
+    router_options options;
+    options.policy = make_policy(values.placing);
+    options.repeats = {values.budgets.repeat_ratio,
+                       values.budgets.repeat_slack,
+                       from_seconds(values.budgets.repeat_window)};
+    options.probes_per_second = values.budgets.probes_per_second;
+    options.hedge_at = values.placing.hedge_at;
+    options.failure_domain = values.router.failure_domain;
+    options.max_requests =
+        static_cast<std::size_t>(values.router.max_requests);
+    return options;
+}
+
+follower_options
+make_follower_options(const settings::router_settings& values,
+                      std::uint64_t seed) {
+    follower_options options;
+    options.read_pause = milliseconds(values.store.read_pause);
+    options.readers = static_cast<std::size_t>(values.store.readers);
+    options.silence = milliseconds(values.store.silence);
+    options.return_hold = milliseconds(values.store.return_hold);
+    options.heartbeat_interval =
+        milliseconds(values.peers.heartbeat_interval);
+    options.members.heartbeat_interval = options.heartbeat_interval;
+    options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
+    options.members.suspect_after = milliseconds(values.peers.suspect_after);
+    options.members.gone_after = milliseconds(values.peers.gone_after);
+    options.seed = seed;
+    random_engine engine(seed);
+    options.own.id = draw_incarnation(engine);
+    options.own.peer_address = values.router.peers;
+    options.own.caller_address = values.router.callers;
+    options.own.admin_address = values.router.metrics;
+    options.own.failure_domain = values.router.failure_domain;
+    return options;
+}
+
+listener_limits make_limits(const caller_limits& limits) {
+    listener_limits out;
+    out.max_header_bytes = limits.max_header_bytes;
+    out.max_body_bytes = limits.max_body_bytes;
+    out.idle_timeout = limits.idle_timeout;
+    return out;
+}
+
+} // namespace
+
+router_process::router_process(const settings::router_settings& values,
+                               platform_binding platform)
+    : settings_(values), platform_(std::move(platform)),
+      callers_(loop_, checked_endpoint(values.router.callers).ip,
+               checked_endpoint(values.router.callers).port,
+               make_limits(caller_limits{})),
+      readiness_(loop_, checked_endpoint(values.router.readiness).ip,
+                 checked_endpoint(values.router.readiness).port, {}),
+      metrics_port_(loop_, checked_endpoint(values.router.metrics).ip,
+                    checked_endpoint(values.router.metrics).port, {}),
+      peers_(loop_, checked_endpoint(values.router.peers).ip,
+             checked_endpoint(values.router.peers).port, values.peers.key) {
+    const auto seed = draw_seed();
+    follower_.emplace(make_follower_options(values, seed), loop_.now());
+    follower_->set_seeds(split_list(values.peers.seeds));
+    router_.emplace(follower_->known(), make_router_options(values), seed + 1);
+    gateway_.emplace(loop_, platform_, *router_, counts_);
+    sync_.emplace(loop_, platform_, *follower_, peers_, counts_,
+                  sync_options{values.store.address,
+                               milliseconds(values.store.request_timeout)});
+    sync_->changed.connect([this](const directory::change& change) {
+        on_directory_changed(change);
+    });
+    callers_.request.connect(
+        [this](const std::shared_ptr<incoming_request>& one) {
+            gateway_->on_request(one);
+        });
+    readiness_.request.connect(
+        [this](const std::shared_ptr<incoming_request>& one) {
+            answer_readiness(*one);
+        });
+    metrics_port_.request.connect(
+        [this](const std::shared_ptr<incoming_request>& one) {
+            answer_metrics(*one);
+        });
+    peers_.dropped.connect([](const std::string& from, const std::string& why) {
+        log_event(event_number::peer_message_dropped,
+                  {{"from", from}, {"reason", why}});
+    });
+}
+
+void router_process::run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    upkeep_timer_ = loop_.every(upkeep_interval, [this] { update_instances(); });
+    term_signal_ = loop_.on_signal(SIGTERM, [this] { begin_stop(); });
+    reload_signal_ = loop_.on_signal(SIGHUP, [] {
+        log_event(event_number::reload_ignored, {});
+    });
+    log_event(event_number::started,
+              {{"incarnation", to_string(follower_->members().own().id)},
+               {"callers", settings_.router.callers},
+               {"peers", settings_.router.peers}});
+    update_instances();
+    sync_->start();
+    loop_.run();
+    log_event(event_number::stopped, {});
+}
+
+void router_process::update_instances() {
+    router_->set_instances(follower_->sharing_instances(loop_.now()));
+}
+
+void router_process::on_directory_changed(const directory::change& change) {
+    router_->on_servers_changed(change.servers);
+    const auto& known = follower_->known();
+    const auto* routing = known.routing();
+    if (change.routing && routing != nullptr) {
+        callers_.set_limits(make_limits(routing->limits));
+    }
+    log_event(event_number::table_changed,
+              {{"version", routing == nullptr ? "-" : routing->version},
+               {"servers", std::to_string(known.server_count())},
+               {"changed", boost::algorithm::join(change.servers, ",")},
+               {"age_ms",
+                std::to_string(to_ms(follower_->age(loop_.now())))}});
+    gateway_->wake();
+}
+
+void router_process::answer_readiness(incoming_request& incoming) {
+    const bool ready =
+        !stopping_since_ && follower_->known().routing() != nullptr;
+    incoming.reply(ready ? status_ok : status_unavailable, {}, "");
+}
+
+void router_process::answer_metrics(incoming_request& incoming) {
+    const auto now = loop_.now();
+    counts_.set_gauge("requests", static_cast<double>(router_->requests()));
+    counts_.set_gauge(
+        "instances",
+        static_cast<double>(follower_->sharing_instances(now)));
+    counts_.set_gauge("directory_age_ms", to_ms(follower_->age(now)));
+    counts_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
+    incoming.reply(status_ok,
+                   {{"Content-Type", "text/plain; version=0.0.4"}},
+                   counts_.text());
+}
+
+void router_process::begin_stop() {
+    if (stopping_since_) {
+        return;
+    }
+    stopping_since_ = loop_.now();
+    log_event(event_number::stopping,
+              {{"requests", std::to_string(gateway_->requests())}});
+    gateway_->begin_stop();
+    sync_->begin_stop();
+    stop_timer_ = loop_.every(stop_check_interval, [this] { stop_if_done(); });
+}
+
+void router_process::stop_if_done() {
+    const auto now = loop_.now();
+    const auto stopping = now - *stopping_since_;
+    const bool idle = gateway_->requests() == 0 &&
+                      now - gateway_->last_finished() > flush_time;
+    const auto grace =
+        from_seconds(settings_.router.stop_grace * grace_part);
+    if ((stopping > linger && idle) || stopping > grace) {
+        loop_.stop();
+    }
+}
+
+} // namespace lacewingbeam
--- /dev/null
+++ b/src/router/router_process.hpp
@@ -0,0 +1,56 @@
+#ifndef LACEWINGBEAM_ROUTER_ROUTER_PROCESS_HPP
+#define LACEWINGBEAM_ROUTER_ROUTER_PROCESS_HPP
+
+#include "adapters/event_loop.hpp"
+#include "adapters/http_listener.hpp"
+#include "adapters/metrics.hpp"
+#include "adapters/peer_link.hpp"
+#include "directory_sync.hpp"
+#include "platform_binding.hpp"
+#include "request_gateway.hpp"
+#include "settings_types.h"
+
+#include <optional>
+
+// An entry instance that routes requests by host and path.
+namespace lacewingbeam {
+
+class router_process {
+public:
+    // Throws error if a port cannot be bound.
+    router_process(const settings::router_settings& values,
+                   platform_binding platform);
+
+    // Serves until SIGTERM has come and everything under way has ended.
+    void run();
+
+private:
+    void on_directory_changed(const directory::change& change);
+    void answer_readiness(incoming_request& incoming);
+    void answer_metrics(incoming_request& incoming);
+    void update_instances();
+    void begin_stop();
+    void stop_if_done();
+
+    settings::router_settings settings_;
+    platform_binding platform_;
+    event_loop loop_;
+    metrics counts_;
+    http_listener callers_;
+    http_listener readiness_;
+    http_listener metrics_port_;
+    peer_link peers_;
+    std::optional<directory_follower> follower_;
+    std::optional<request_router> router_;
+    std::optional<request_gateway> gateway_;
+    std::optional<directory_sync> sync_;
+    scoped_event upkeep_timer_;
+    scoped_event stop_timer_;
+    scoped_event term_signal_;
+    scoped_event reload_signal_;
+    std::optional<time_point> stopping_since_;
+};
+
+} // namespace lacewingbeam
+
+#endif
