Wait for a slot that an answer has left; learn how crowding slows servers

When the probe budget was spent, requests were placed at random.

Change: each service's slow-down is learned from its own answers; a request that finds no useful slot waits here and takes the slot that an answer has just left, those that can still meet their objective first.

Found on the way: a waiting request placed by an answer was placed again by its own probe (TWICE); placing now ends the round of probes.

--- /dev/null
+++ b/include/lacewingbeam/crowding.hpp
@@ -0,0 +1,38 @@
+#ifndef LACEWINGBEAM_CROWDING_HPP
+#define LACEWINGBEAM_CROWDING_HPP
+
+#include <array>
+
+// Learns how much the servers of a service slow down when nearly all of
+// their slots are in use.
+namespace lacewingbeam {
+
+// Slots of which more in use count as crowded: nearly full, by the
+// platform's word.
+unsigned quiet_slots(unsigned slots);
+
+class crowding_estimate {
+public:
+    // A request took `ratio` times its expected time at a server that was
+    // crowded with it, or not.
+    void on_completed(bool crowded, double ratio);
+
+    // Times that work takes longer at a crowded server; at least 1.
+    double factor() const;
+
+    // Slots of a server that may be in use before more of them yield less
+    // work in all.
+    unsigned useful_slots(unsigned slots) const;
+
+private:
+    struct mean {
+        double log_ratio = 0;
+        double weight = 0;
+    };
+
+    std::array<mean, 2> means_; // not crowded, crowded
+};
+
+} // namespace lacewingbeam
+
+#endif
--- a/include/lacewingbeam/expected_time.hpp
+++ b/include/lacewingbeam/expected_time.hpp
@@ -2,6 +2,7 @@
 #define LACEWINGBEAM_EXPECTED_TIME_HPP
 
 #include "core.hpp"
+#include "crowding.hpp"
 
 // How long one more request takes at a backend server.
 namespace lacewingbeam {
@@ -23,11 +24,16 @@
     double distrust = 0;       // 0 none, 1 every recent request failed
     double work_ms = 100;      // usual time of this kind of request
     double objective_ms = 300; // response-time objective
+    crowding_estimate crowding;
 };
 
 // Expected time in milliseconds from now to the whole answer.
 double expected_time_ms(const placement_view& view);
 
+// True if the request would start at once, at a server where one more makes
+// it do more in all.
+bool has_useful_slot(const placement_view& view);
+
 // True if the request would start at once.
 bool has_free_slot(const placement_view& view);
 
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -3,6 +3,7 @@
 
 #include "budget.hpp"
 #include "core.hpp"
+#include "crowding.hpp"
 #include "directory.hpp"
 #include "expected_time.hpp"
 #include "repeat_budget.hpp"
@@ -127,9 +128,15 @@
     // Instances that share the budgets.
     void set_instances(std::size_t count) { instances_ = count; }
 
+    // From now on every arriving request is refused: the instance ends before
+    // an answer could be there.
+    void refuse_arrivals() { stopping_ = true; }
+
     actions submit(const routed_request& request, time_point now);
 
-    actions on_probe_answered(probe_id id, const server_load_sample& load,
+    // No load: the server is alive, but tells none.
+    actions on_probe_answered(probe_id id,
+                              const std::optional<server_load_sample>& load,
                               time_point now);
     // `refused`: the server said that it takes no work; else it was silent.
     actions on_probe_failed(probe_id id, bool refused, time_point now);
@@ -165,13 +172,14 @@
     struct service_entry {
         std::unique_ptr<repeat_budget> repeats;
         std::map<std::string, double> work_ms; // by route
+        crowding_estimate crowding;
     };
 
     struct attempt_entry {
         call_id call{};
         std::string server;
         time_point sent_at;
-        double slowness = 1;
+        server_load_sample load; // when it was placed
     };
 
     struct request_entry {
@@ -186,14 +194,15 @@
         time_point arrived;
         time_point limit_at;
         unsigned attempts = 0;
-        unsigned rounds = 0;
+        unsigned priority = 0;
         bool hedged = false;
+        bool waiting = false; // for a slot
         std::vector<std::string> tried;
         std::vector<std::string> probed;
         std::vector<probe_id> pending;
         std::vector<attempt_id> running;
         std::optional<time_point> decide_at; // a round of probes ends
-        std::optional<time_point> retry_at;  // all were full; look again
+        std::optional<time_point> retry_at;  // while waiting: look again
         std::optional<may_have_run_reason> lost;
         std::optional<not_run_reason> refused;
     };
@@ -216,6 +225,13 @@
                            const known_server& server, time_point now);
     double work_of(const request_entry& request);
     std::vector<const known_server*> candidates(const request_entry& request);
+    void take_load(const std::string& server,
+                   const std::optional<server_load_sample>& load,
+                   time_point now);
+    void place_waiting(const std::string& id, time_point now, actions& out);
+    bool goes_before(const request_entry& a, const request_entry& b,
+                     time_point now);
+    void wait(request_entry& request, time_point now, actions& out);
     void begin_round(request_entry& request, time_point now, actions& out);
     void send_probes(request_entry& request, unsigned count, duration timeout,
                      time_point now, actions& out);
@@ -229,6 +245,8 @@
                std::size_t count, time_point now, actions& out);
     void send_again_or_finish(request_entry& request, time_point now,
                               actions& out);
+    void learn(const request_entry& request, const attempt_entry& attempt,
+               time_point now);
     bool may_repeat(request_entry& request, time_point now);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
@@ -257,6 +275,7 @@
     std::map<probe_id, sent_probe> probes_;
     std::uint64_t next_attempt_ = 1;
     std::uint64_t next_probe_ = 1;
+    bool stopping_ = false;
 };
 
 } // namespace lacewingbeam
--- a/src/decisions/placing/expected_time.cpp
+++ b/src/decisions/placing/expected_time.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-// Servers with more than this part of their slots in use slow down, by about
-// this factor.
-constexpr double crowded_part = 0.8;
-constexpr double crowded_factor = 1.6;
-
 // Servers that have just started take about twice as long.
 constexpr double cold_factor = 2;
 
@@ -27,6 +22,11 @@
 
 } // namespace
 
+bool has_useful_slot(const placement_view& view) {
+    return view.load.waiting == 0 &&
+           occupied(view) < view.crowding.useful_slots(view.load.slots);
+}
+
 bool has_free_slot(const placement_view& view) {
     return view.load.waiting == 0 && occupied(view) < view.load.slots;
 }
@@ -38,8 +38,8 @@
         work *= cold_factor;
     }
     const double after = occupied(view) + 1;
-    if (after > crowded_part * slots) {
-        work *= crowded_factor;
+    if (after > quiet_slots(view.load.slots)) {
+        work *= view.crowding.factor();
     }
     double total = work;
     if (!has_free_slot(view)) {
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -4,6 +4,7 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <cmath>
+#include <tuple>
 
 // How the request router chooses a backend server.
 namespace lacewingbeam {
@@ -14,7 +15,7 @@
 
 // Older samples say nothing of servers whose load changes within
 // milliseconds.
-constexpr duration sample_life = milliseconds(4);
+constexpr duration sample_life = milliseconds(15);
 
 // Distrust halves in this time without a new failure.
 constexpr double distrust_half_life_s = 2;
@@ -31,14 +32,8 @@
 // have started meanwhile.
 constexpr double probe_part = 0.9;
 
-// Rounds of probes before a request goes to the best server known.
-constexpr unsigned most_rounds = 3;
-
 // Time between two looks for a free slot.
-constexpr duration look_interval = milliseconds(15);
-
-// A request waits here for a free slot for this part of its objective.
-constexpr int waiting_part = 8;
+constexpr duration look_interval = milliseconds(20);
 
 // Equally good servers are taken in turn, not always the first.
 constexpr double score_spread = 0.03;
@@ -46,6 +41,10 @@
 // A time this near to the best possible is not worth waiting for more probes.
 constexpr double good_enough_factor = 1.1;
 
+// A request that can still meet its objective by this many times its usual
+// work is not sent where it would miss it.
+constexpr double patience = 1.1;
+
 constexpr unsigned least_connections = 2;
 
 double initial_work_ms(duration objective) {
@@ -115,6 +114,7 @@
     view.distrust = distrust_of(entry, now);
     view.work_ms = work_of(request);
     view.objective_ms = to_ms(request.objective);
+    view.crowding = entry_of_service(request.service).crowding;
     return view;
 }
 
@@ -130,7 +130,6 @@
 
 void request_router::begin_round(request_entry& request, time_point now,
                                  actions& out) {
-    ++request.rounds;
     struct visitor {
         request_router& self;
         request_entry& request;
@@ -204,26 +203,79 @@
     request.decide_at = now + timeout;
 }
 
-request_router::actions
-request_router::on_load(std::string_view server,
-                        const server_load_sample& load, time_point now) {
-    auto& entry = entry_of(std::string(server));
+void request_router::take_load(const std::string& server,
+                               const std::optional<server_load_sample>& load,
+                               time_point now) {
+    auto& entry = entry_of(server);
     entry.load = load;
     entry.load_at = now;
     entry.sent_since = 0;
-    return {};
 }
 
 request_router::actions
-request_router::on_probe_answered(probe_id id, const server_load_sample& load,
-                                  time_point now) {
+request_router::on_load(std::string_view server,
+                        const server_load_sample& load, time_point now) {
+    actions out;
+    const std::string id(server);
+    take_load(id, load, now);
+    place_waiting(id, now, out);
+    return out;
+}
+
+// An answer has just left a slot: the most promising waiting request takes
+// it, without a probe.
+void request_router::place_waiting(const std::string& id, time_point now,
+                                   actions& out) {
+    const auto* server = directory_.find(id);
+    if (server == nullptr || server->info.leaving) {
+        return;
+    }
+    while (true) {
+        request_entry* best = nullptr;
+        for (auto& [call, request] : requests_) {
+            const bool fits =
+                request.waiting && request.service == server->info.service &&
+                std::find(request.tried.begin(), request.tried.end(), id) ==
+                    request.tried.end();
+            if (fits && (best == nullptr || goes_before(request, *best, now))) {
+                best = &request;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        const auto view = view_of(*best, *server, now);
+        const double expected = expected_time_ms(view);
+        if (!has_useful_slot(view) ||
+            expected > to_ms(best->limit_at - now)) {
+            return;
+        }
+        place(*best, {id, expected, true, true}, 1, now, out);
+    }
+}
+
+// Requests that can still meet their objective first, then by priority, then
+// the oldest.
+bool request_router::goes_before(const request_entry& a,
+                                 const request_entry& b, time_point now) {
+    const auto rank = [&](const request_entry& request) {
+        const bool late = to_ms(request.arrived + request.objective - now) <
+                          work_of(request);
+        return std::tuple(late, request.priority, request.arrived);
+    };
+    return rank(a) < rank(b);
+}
+
+request_router::actions request_router::on_probe_answered(
+    probe_id id, const std::optional<server_load_sample>& load,
+    time_point now) {
     actions out;
     const auto found = probes_.find(id);
     if (found == probes_.end()) {
         return out;
     }
     const auto server = found->second.server;
-    on_load(server, load, now);
+    take_load(server, load, now);
     entry_of(server).silent_until = time_point{};
     probe_settled(id, now, out);
     return out;
@@ -271,7 +323,7 @@
                                  const std::string& server, time_point now) {
     const auto* known = directory_.find(server);
     const auto& entry = entry_of(server);
-    if (known == nullptr || known->info.leaving || !entry.load) {
+    if (known == nullptr || known->info.leaving || now != entry.load_at) {
         return false;
     }
     const auto view = view_of(request, *known, now);
@@ -288,10 +340,9 @@
         const auto view = view_of(request, *server, now);
         scored_server item;
         item.id = server->info.id;
-        item.told = entry.load && now - entry.load_at <= sample_life +
-                                      milliseconds(12);
+        item.told = now - entry.load_at <= sample_life;
         item.expected_ms = expected_time_ms(view) * spread(engine_);
-        item.free_slot = has_free_slot(view);
+        item.free_slot = has_useful_slot(view);
         scored.push_back(std::move(item));
     }
     return scored;
@@ -333,42 +384,32 @@
     const bool any_told =
         std::any_of(scored.begin(), scored.end(),
                     [](const scored_server& item) { return item.told; });
-    if (any_told) {
-        std::erase_if(scored,
-                      [](const scored_server& item) { return !item.told; });
-    } else {
-        std::erase_if(scored, [&](const scored_server& item) {
-            return now < entry_of(item.id).silent_until;
-        });
-        if (scored.empty()) {
-            if (!running && request.rounds < most_rounds) {
-                request.retry_at = now + look_interval;
-            } else if (!running) {
-                refuse(request, not_run_reason::no_backend_server, now, out);
-            }
-            return;
+    if (!any_told) {
+        if (!running) {
+            wait(request, now, out);
         }
-        place(request, pick_random(), count, now, out);
         return;
     }
+    std::erase_if(scored,
+                  [](const scored_server& item) { return !item.told; });
     const auto best = *std::min_element(
         scored.begin(), scored.end(),
         [](const scored_server& a, const scored_server& b) {
             return a.expected_ms < b.expected_ms;
         });
     const double left = to_ms(request.limit_at - now);
-    const double objective_left =
-        to_ms(request.arrived + request.objective - now);
     if (running) {
         if (best.free_slot) {
             place(request, best, count, now, out);
         }
         return;
     }
-    if (best.expected_ms > objective_left &&
-        now - request.arrived < request.objective / waiting_part &&
-        request.rounds < 2 * most_rounds) {
-        request.retry_at = now + look_interval;
+    const double objective_left =
+        to_ms(request.arrived + request.objective - now);
+    const bool better_soon = best.expected_ms > objective_left &&
+                             objective_left > patience * work_of(request);
+    if (!best.free_slot || better_soon) {
+        wait(request, now, out);
         return;
     }
     if (best.expected_ms > left) {
@@ -378,8 +419,29 @@
     place(request, best, count, now, out);
 }
 
+// Until a slot is free: an answer that comes back tells of one, and now and
+// then a few servers are asked.
+void request_router::wait(request_entry& request, time_point now,
+                          actions& out) {
+    if (to_ms(request.limit_at - now) < work_of(request)) {
+        refuse(request, not_run_reason::queue_full, now, out);
+        return;
+    }
+    request.waiting = true;
+    const auto others = std::count_if(
+        requests_.begin(), requests_.end(), [&](const auto& item) {
+            return item.second.waiting &&
+                   item.second.service == request.service;
+        });
+    request.retry_at = now + look_interval * others;
+}
+
 void request_router::place(request_entry& request, const scored_server& chosen,
                            std::size_t count, time_point now, actions& out) {
+    const bool may_run_elsewhere = !request.running.empty() || request.lost;
+    if (may_run_elsewhere && request.repeats == repetition::at_most_once) {
+        return;
+    }
     const auto& server = *directory_.find(chosen.id);
     auto& entry = entry_of(chosen.id);
     const auto id = attempt_id{next_attempt_++};
@@ -400,7 +462,11 @@
     order.load_age = entry.load ? now - entry.load_at : duration::max();
     order.expected_ms = chosen.expected_ms;
     order.candidates = count;
-    attempts_[id] = {request.id, chosen.id, now, order.load.slowness};
+    request.waiting = false;
+    request.retry_at.reset();
+    request.decide_at.reset();
+    request.pending.clear();
+    attempts_[id] = {request.id, chosen.id, now, order.load};
     request.running.push_back(id);
     request.tried.push_back(chosen.id);
     ++request.attempts;
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -21,6 +21,15 @@
 // read any more.
 constexpr duration answer_transit = milliseconds(10);
 
+// A few requests run many times longer than the rest.
+constexpr double longest_learned = 3;
+
+// Servers slower than this say little of what work usually takes.
+constexpr double usual_slowness = 1.3;
+
+// Callers that come back are sent to another instance.
+constexpr duration stopping_retry = milliseconds(20);
+
 } // namespace
 
 request_router::request_router(const directory& known, router_options options,
@@ -61,6 +70,12 @@
             finish_order{request.id, not_run{reason}, std::nullopt});
     };
     const auto* table = directory_.routing();
+    if (stopping_) {
+        out.emplace_back(finish_order{
+            request.id, not_run{not_run_reason::instance_stopping},
+            stopping_retry});
+        return out;
+    }
     if (table == nullptr) {
         refuse_arrival(not_run_reason::table_unconfirmed);
         return out;
@@ -81,6 +96,7 @@
     const auto& terms = table->terms_of(entry.service);
     entry.health_path = terms.health_path;
     entry.max_connections = terms.max_connections;
+    entry.priority = chosen->priority;
     entry.repeats = chosen->repeats;
     entry.max_attempts = std::max(1U, chosen->max_attempts);
     entry.arrived = now;
@@ -128,14 +144,7 @@
             return out;
         }
         if (!answered->server_error) {
-            auto& work = entry_of_service(request.service)
-                             .work_ms.try_emplace(request.route,
-                                                  work_of(request))
-                             .first->second;
-            constexpr double new_part = 0.1;
-            const double seen = to_ms(now - attempt.sent_at) /
-                                std::max(1.0, attempt.slowness);
-            work += new_part * (seen - work);
+            learn(request, attempt, now);
         }
         out.emplace_back(deliver_order{request.id, id});
         drop(request.id, id, out);
@@ -157,6 +166,25 @@
     return out;
 }
 
+void request_router::learn(const request_entry& request,
+                           const attempt_entry& attempt, time_point now) {
+    auto& service = entry_of_service(request.service);
+    auto& work =
+        service.work_ms.try_emplace(request.route, work_of(request))
+            .first->second;
+    const double seen =
+        to_ms(now - attempt.sent_at) / std::max(1.0, attempt.load.slowness);
+    const bool usual =
+        attempt.load.waiting == 0 && attempt.load.slowness <= usual_slowness;
+    if (usual) {
+        const bool crowded =
+            attempt.load.running + 1 > quiet_slots(attempt.load.slots);
+        service.crowding.on_completed(crowded, seen / work);
+    }
+    constexpr double new_part = 0.1;
+    work += new_part * (std::min(seen, longest_learned * work) - work);
+}
+
 bool request_router::may_repeat(request_entry& request, time_point now) {
     if (request.attempts >= request.max_attempts || now >= request.limit_at) {
         return false;
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -166,7 +166,7 @@
     const auto load =
         text ? platform_.read_load(*text) : std::optional<server_load_sample>();
     if (load) {
-        router_.on_load(attempt.server, *load, loop_.now());
+        attempt.load = load;
     }
 }
 
@@ -238,8 +238,13 @@
                     {"ms", std::to_string(to_ms(now - attempt.sent_at))}},
                    now);
     }
+    const auto server = attempt.server;
+    const auto load = attempt.load;
     carry_out(router_.on_attempt_ended(id, result, now));
     attempts_.erase(id);
+    if (load) {
+        carry_out(router_.on_load(server, *load, now));
+    }
 }
 
 void request_gateway::run(const probe_order& order) {
@@ -292,6 +297,7 @@
         probe.refused = true;
         return;
     }
+    probe.alive = true;
     const auto text = find_header(head.headers, platform_.headers.load);
     if (text) {
         probe.load = platform_.read_load(*text);
@@ -305,12 +311,13 @@
     }
     const auto load = found->second.load;
     const bool refused = found->second.refused;
+    const bool alive = found->second.alive;
     // The timer's own callback may be running.
     loop_.defer([kept = std::make_shared<held_probe>(
                      std::move(found->second))] {});
     probes_.erase(found);
-    if (load) {
-        carry_out(router_.on_probe_answered(id, *load, loop_.now()));
+    if (alive) {
+        carry_out(router_.on_probe_answered(id, load, loop_.now()));
     } else {
         carry_out(router_.on_probe_failed(id, refused, loop_.now()));
     }
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -50,6 +50,7 @@
         exchange_id exchange{};
         http_answer_head head;
         std::string body;
+        std::optional<server_load_sample> load;
         time_point sent_at;
     };
 
@@ -58,6 +59,7 @@
         std::string request_id;
         exchange_id exchange{};
         std::optional<server_load_sample> load;
+        bool alive = false;
         bool refused = false;
         scoped_event timeout;
     };
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -229,6 +229,9 @@
     const auto stopping = now - *stopping_since_;
     const bool idle = gateway_->requests() == 0 &&
                       now - gateway_->last_finished() > flush_time;
+    if (stopping > linger) {
+        router_->refuse_arrivals();
+    }
     const auto grace =
         from_seconds(settings_.router.stop_grace * grace_part);
     if ((stopping > linger && idle) || stopping > grace) {
