--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -153,7 +153,7 @@
     std::optional<time_point> next_due() const;
 
     // Servers came, changed or went.
-    void on_servers_changed(std::span<const std::string> ids);
+    void on_servers_changed(std::span<const std::string> ids, time_point now);
 
     std::size_t requests() const { return requests_.size(); }
 
@@ -218,6 +218,7 @@
                                            random_engine& engine);
     server_entry& entry_of(const std::string& id);
     service_entry& entry_of_service(const std::string& name);
+    token_bucket& probes_of(server_entry& entry, time_point now);
     double distrust_of(const server_entry& entry, time_point now) const;
     void note_outcome(const std::string& server, bool good, double weight,
                       time_point now);
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -64,16 +64,30 @@
     return servers_[id];
 }
 
-void request_router::on_servers_changed(std::span<const std::string> ids) {
+void request_router::on_servers_changed(std::span<const std::string> ids,
+                                        time_point now) {
     for (const auto& id : ids) {
         const auto found = servers_.find(id);
-        if (directory_.find(id) == nullptr && found != servers_.end() &&
-            found->second.in_flight == 0) {
+        if (directory_.find(id) != nullptr) {
+            probes_of(entry_of(id), now); // begins to gather
+        } else if (found != servers_.end() && found->second.in_flight == 0) {
             servers_.erase(found);
         }
     }
 }
 
+// The server's part of the probe budget that is this instance's.
+token_bucket& request_router::probes_of(server_entry& entry, time_point now) {
+    const double rate =
+        probe_part * options_.probes_per_second /
+        static_cast<double>(std::max<std::size_t>(1, instances_));
+    if (!entry.probes) {
+        entry.probes = std::make_unique<token_bucket>(rate, probe_burst, now);
+    }
+    entry.probes->set_rate(rate, now);
+    return *entry.probes;
+}
+
 double request_router::distrust_of(const server_entry& entry,
                                    time_point now) const {
     const std::chrono::duration<double> passed = now - entry.distrust_at;
@@ -161,9 +175,6 @@
                    request.probed.end();
     });
     request.pending.clear();
-    const double rate = probe_part * options_.probes_per_second /
-                        static_cast<double>(std::max<std::size_t>(
-                            1, instances_));
     unsigned sent = 0;
     while (sent < count && !servers.empty()) {
         boost::random::uniform_int_distribution<std::size_t> draw(
@@ -176,12 +187,7 @@
         if (distrust_of(entry, now) > hopeless_distrust && !servers.empty()) {
             continue;
         }
-        if (!entry.probes) {
-            entry.probes =
-                std::make_unique<token_bucket>(rate, probe_burst, now);
-        }
-        entry.probes->set_rate(rate, now);
-        if (!entry.probes->try_take(now)) {
+        if (!probes_of(entry, now).try_take(now)) {
             continue;
         }
         const auto id = probe_id{next_probe_++};
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -178,7 +178,7 @@
 }
 
 void router_process::on_directory_changed(const directory::change& change) {
-    router_->on_servers_changed(change.servers);
+    router_->on_servers_changed(change.servers, loop_.now());
     const auto& known = follower_->known();
     const auto* routing = known.routing();
     if (change.routing && routing != nullptr) {
