Keep large answers in their failure domain, read the store less, hold early requests

Change: an answer's usual size is learned by route and weighs against a remote server; one reader with a pause of 700 ms (others read after 1.1 s without word); requests that come before the directory wait for it; the probe budget starts with 0.7 s of its rate.

--- a/include/lacewingbeam/budget.hpp
+++ b/include/lacewingbeam/budget.hpp
@@ -18,6 +18,9 @@
     // True if try_take would succeed.
     bool has_token(time_point now);
 
+    // Adds tokens, up to the burst.
+    void add(double tokens);
+
     // Changes the rate; tokens already gathered are kept.
     void set_rate(double rate, time_point now);
 
--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -57,10 +57,10 @@
 };
 
 struct follower_options {
-    duration read_pause = std::chrono::milliseconds(400);
-    duration change_wait = std::chrono::milliseconds(1000);
-    std::size_t readers = 2;
-    duration silence = std::chrono::milliseconds(900);
+    duration read_pause = std::chrono::milliseconds(700);
+    duration change_wait = std::chrono::milliseconds(2000);
+    std::size_t readers = 1;
+    duration silence = std::chrono::milliseconds(1100);
     duration return_hold = std::chrono::milliseconds(2200);
     duration heartbeat_interval = std::chrono::milliseconds(500);
     membership_options members;
--- a/include/lacewingbeam/expected_time.hpp
+++ b/include/lacewingbeam/expected_time.hpp
@@ -24,10 +24,12 @@
     double distrust = 0;       // 0 none, 1 every recent request failed
     double work_ms = 100;      // usual time of this kind of request
     double objective_ms = 300; // response-time objective
+    double answer_kb = 0;      // usual size of the answer
     crowding_estimate crowding;
 };
 
-// Expected time in milliseconds from now to the whole answer.
+// Expected time in milliseconds from now to the whole answer, with what
+// bytes between failure domains and failures cost added as time.
 double expected_time_ms(const placement_view& view);
 
 // True if the request would start at once, at a server where one more makes
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -85,6 +85,7 @@
 // How an attempt ended.
 struct attempt_answered {
     bool server_error = false; // says that the backend server itself failed
+    double answer_kb = 0;      // size of the answer's body
 };
 struct attempt_not_run {
     not_run_reason reason{};
@@ -172,6 +173,7 @@
     struct service_entry {
         std::unique_ptr<repeat_budget> repeats;
         std::map<std::string, double> work_ms; // by route
+        std::map<std::string, double> answer_kb; // by route
         crowding_estimate crowding;
     };
 
@@ -246,8 +248,9 @@
                std::size_t count, time_point now, actions& out);
     void send_again_or_finish(request_entry& request, time_point now,
                               actions& out);
+    void submit_early(time_point now, actions& out);
     void learn(const request_entry& request, const attempt_entry& attempt,
-               time_point now);
+               double answer_kb, time_point now);
     bool may_repeat(request_entry& request, time_point now);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
@@ -260,6 +263,13 @@
     std::optional<time_point> hedge_due(const request_entry& request) const;
     time_point due_of(const request_entry& request) const;
 
+    // A request that came before the directory was known.
+    struct early_request {
+        routed_request request;
+        time_point arrived;
+        time_point give_up_at;
+    };
+
     const directory& directory_;
     router_options options_;
     random_engine engine_;
@@ -267,6 +277,7 @@
     std::map<std::string, server_entry> servers_;
     std::map<std::string, service_entry> services_;
     std::map<call_id, request_entry> requests_;
+    std::map<call_id, early_request> early_;
     std::map<attempt_id, attempt_entry> attempts_;
 
     struct sent_probe {
--- a/src/decisions/budget.cpp
+++ b/src/decisions/budget.cpp
@@ -29,6 +29,10 @@
     return true;
 }
 
+void token_bucket::add(double tokens) {
+    tokens_ = std::min(burst_, tokens_ + tokens);
+}
+
 void token_bucket::set_rate(double rate, time_point now) {
     refill(now);
     rate_ = rate;
--- a/src/decisions/placing/expected_time.cpp
+++ b/src/decisions/placing/expected_time.cpp
@@ -9,9 +9,11 @@
 // Servers that have just started take about twice as long.
 constexpr double cold_factor = 2;
 
-// A request to another failure domain and its answer, in milliseconds: two
-// crossings of 1 ms, and the price of the bytes.
-constexpr double remote_ms = 4;
+// A request to another failure domain and its answer: two crossings of about
+// 1 ms, and some time that a slower server at hand may take to save the bytes
+// between.
+constexpr double remote_ms = 3;
+constexpr double remote_ms_per_kb = 2;
 
 // A request that fails costs about this many objectives.
 constexpr double failure_objectives = 3;
@@ -48,7 +50,7 @@
         total += work * std::max(1.0, ahead) / slots;
     }
     if (!view.same_domain) {
-        total += remote_ms;
+        total += remote_ms + remote_ms_per_kb * view.answer_kb;
     }
     return total + view.distrust * failure_objectives * view.objective_ms;
 }
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -28,6 +28,10 @@
 
 constexpr double probe_burst = 12;
 
+// An instance begins with what it gathers in this time: starting takes about
+// as long, and so the budget holds even for one that always starts again.
+constexpr duration first_probes = milliseconds(700);
+
 // The part of the probe budget that is used; the rest covers instances that
 // have started meanwhile.
 constexpr double probe_part = 0.9;
@@ -83,6 +87,7 @@
         static_cast<double>(std::max<std::size_t>(1, instances_));
     if (!entry.probes) {
         entry.probes = std::make_unique<token_bucket>(rate, probe_burst, now);
+        entry.probes->add(rate * to_ms(first_probes) / 1000);
     }
     entry.probes->set_rate(rate, now);
     return *entry.probes;
@@ -128,6 +133,9 @@
     view.distrust = distrust_of(entry, now);
     view.work_ms = work_of(request);
     view.objective_ms = to_ms(request.objective);
+    const auto& sizes = entry_of_service(request.service).answer_kb;
+    const auto size = sizes.find(request.route);
+    view.answer_kb = size == sizes.end() ? 0 : size->second;
     view.crowding = entry_of_service(request.service).crowding;
     return view;
 }
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -27,6 +27,11 @@
 // Servers slower than this say little of what work usually takes.
 constexpr double usual_slowness = 1.3;
 
+// A request that comes before the directory is known waits for it this long;
+// a read of the store takes some milliseconds.
+constexpr duration directory_patience = milliseconds(600);
+constexpr duration directory_retry = milliseconds(100);
+
 // Callers that come back are sent to another instance.
 constexpr duration stopping_retry = milliseconds(20);
 
@@ -76,8 +81,8 @@
             stopping_retry});
         return out;
     }
-    if (table == nullptr) {
-        refuse_arrival(not_run_reason::table_unconfirmed);
+    if (table == nullptr || directory_.server_count() == 0) {
+        early_[request.id] = {request, now, now + directory_patience};
         return out;
     }
     const auto* chosen = table->match(request.host, request.path);
@@ -144,7 +149,7 @@
             return out;
         }
         if (!answered->server_error) {
-            learn(request, attempt, now);
+            learn(request, attempt, answered->answer_kb, now);
         }
         out.emplace_back(deliver_order{request.id, id});
         drop(request.id, id, out);
@@ -167,7 +172,8 @@
 }
 
 void request_router::learn(const request_entry& request,
-                           const attempt_entry& attempt, time_point now) {
+                           const attempt_entry& attempt, double answer_kb,
+                           time_point now) {
     auto& service = entry_of_service(request.service);
     auto& work =
         service.work_ms.try_emplace(request.route, work_of(request))
@@ -181,7 +187,10 @@
             attempt.load.running + 1 > quiet_slots(attempt.load.slots);
         service.crowding.on_completed(crowded, seen / work);
     }
+    auto& size = service.answer_kb.try_emplace(request.route, answer_kb)
+                     .first->second;
     constexpr double new_part = 0.1;
+    size += new_part * (answer_kb - size);
     work += new_part * (std::min(seen, longest_learned * work) - work);
 }
 
@@ -253,9 +262,37 @@
     requests_.erase(found);
 }
 
+// Takes the requests that came before the directory.
+void request_router::submit_early(time_point now, actions& out) {
+    const bool known =
+        directory_.routing() != nullptr && directory_.server_count() > 0;
+    std::vector<early_request> ready;
+    std::erase_if(early_, [&](const auto& item) {
+        if (known) {
+            ready.push_back(item.second);
+        } else if (now >= item.second.give_up_at) {
+            out.emplace_back(
+                finish_order{item.first,
+                             not_run{not_run_reason::table_unconfirmed},
+                             directory_retry});
+        }
+        return known || now >= item.second.give_up_at;
+    });
+    for (auto& item : ready) {
+        auto& left = item.request.caller_time_left;
+        if (left) {
+            *left -= now - item.arrived;
+        }
+        for (auto& action : submit(item.request, now)) {
+            out.push_back(std::move(action));
+        }
+    }
+}
+
 request_router::actions request_router::on_caller_gone(call_id id,
                                                        time_point) {
     actions out;
+    early_.erase(id);
     if (requests_.contains(id)) {
         drop(id, std::nullopt, out);
     }
@@ -303,6 +340,9 @@
 
 std::optional<time_point> request_router::next_due() const {
     std::optional<time_point> due;
+    for (const auto& [id, request] : early_) {
+        due = due ? std::min(*due, request.give_up_at) : request.give_up_at;
+    }
     for (const auto& [id, request] : requests_) {
         const auto one = due_of(request);
         due = due ? std::min(*due, one) : one;
@@ -312,6 +352,7 @@
 
 request_router::actions request_router::on_tick(time_point now) {
     actions out;
+    submit_early(now, out);
     std::vector<call_id> due;
     for (const auto& [id, request] : requests_) {
         if (due_of(request) <= now) {
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -208,7 +208,12 @@
                     "status " + std::to_string(head.status));
         return;
     }
-    end_attempt(id, attempt_answered{head.status >= first_server_error},
+    constexpr double bytes_per_kb = 1000;
+    end_attempt(id,
+                attempt_answered{head.status >= first_server_error,
+                                 static_cast<double>(
+                                     found->second.body.size()) /
+                                     bytes_per_kb},
                 "status " + std::to_string(head.status));
 }
 
