--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -77,7 +77,7 @@
     void set_seeds(std::span<const std::string> peer_addresses);
 
     // The store answered a read.
-    actions on_page(store_page page, time_point now);
+    actions on_page(const store_page& page, time_point now);
     actions on_failed(store_table table, store_failure failure, time_point now);
 
     actions on_message(const std::string& from, const peer_message& message,
@@ -153,7 +153,7 @@
     std::array<table_state, store_table_count> tables_;
     std::map<std::string, held_removal> held_;
     directory::change changes_;
-    std::optional<time_point> told_at_;  // a peer's read, as it told
+    std::optional<time_point> told_at_; // a peer's read, as it told
     std::optional<time_point> differs_since_;
     time_point next_request_;
     time_point next_heartbeat_;
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -56,7 +56,7 @@
     std::uint64_t table_version = 0; // of the last row if there are more
     duration age{};
     std::vector<raw_row> rows;
-    bool more = false; // newer rows are left
+    bool more = false;        // newer rows are left
     std::uint64_t digest = 0; // of a directory's rows; 0 without directory
 };
 
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -172,7 +172,7 @@
 
     struct service_entry {
         std::unique_ptr<repeat_budget> repeats;
-        std::map<std::string, double> work_ms; // by route
+        std::map<std::string, double> work_ms;   // by route
         std::map<std::string, double> answer_kb; // by route
         crowding_estimate crowding;
     };
@@ -200,7 +200,6 @@
         bool hedged = false;
         bool waiting = false; // for a slot
         std::vector<std::string> tried;
-        std::vector<std::string> probed;
         std::vector<probe_id> pending;
         std::vector<attempt_id> running;
         std::optional<time_point> decide_at; // a round of probes ends
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -351,8 +351,8 @@
     if (!may_have_body(head.status, value->method)) {
         head.content_length = 0;
     }
-    value->unbounded = !head.content_length && !coding &&
-                       !pool->options_.unmarked_end;
+    value->unbounded =
+        !head.content_length && !coding && !pool->options_.unmarked_end;
     if (value->unbounded) {
         value->problem = exchange_problem::truncated;
         return -1;
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -19,6 +19,7 @@
     stopping = 1002,
     stopped = 1003,
     start_failed = 1004,
+    reload_ignored = 1005,
     table_changed = 1101,
     table_row_rejected = 1102,
     platform_failed = 1103,
@@ -40,7 +41,6 @@
     request_finished = 1603,
     caller_gone = 1604,
     lines_left_out = 1605,
-    reload_ignored = 1005,
 };
 
 // How an event appears in the log.
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -7,8 +7,8 @@
 #include <boost/algorithm/string.hpp>
 #include <charconv>
 #include <fstream>
-#include <iomanip>
 #include <ini.h>
+#include <iomanip>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -208,9 +208,8 @@
 
 std::string range_text(const setting_rule& rule) {
     return std::string(rule.is_fraction ? "a number" : "a whole number") +
-           " from " + number_text(rule.low) + " to " +
-           number_text(rule.high) + " (unit: " + rule.unit +
-           ", written without it)";
+           " from " + number_text(rule.low) + " to " + number_text(rule.high) +
+           " (unit: " + rule.unit + ", written without it)";
 }
 
 template <class Number>
--- a/src/decisions/knowledge/directory.cpp
+++ b/src/decisions/knowledge/directory.cpp
@@ -48,13 +48,14 @@
     raw_row row;
     row.key = std::string(server_row_prefix) + server.id;
     row.version = revision;
-    row.cells = {{"service", server.service},
-                 {"address", server.address},
-                 {"failure_domain", server.failure_domain},
-                 {"slots", std::to_string(server.slots)},
-                 {"state", server.leaving ? "leaving" : "active"},
-                 {std::string(cold_cell), std::to_string(server.cold_left.count())},
-                 {"started_at", server.started_at}};
+    row.cells = {
+        {"service", server.service},
+        {"address", server.address},
+        {"failure_domain", server.failure_domain},
+        {"slots", std::to_string(server.slots)},
+        {"state", server.leaving ? "leaving" : "active"},
+        {std::string(cold_cell), std::to_string(server.cold_left.count())},
+        {"started_at", server.started_at}};
     return row;
 }
 
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -55,8 +55,7 @@
 
 } // namespace
 
-directory_follower::directory_follower(follower_options options,
-                                       time_point now)
+directory_follower::directory_follower(follower_options options, time_point now)
     : options_(std::move(options)), members_(options_.own, options_.members),
       engine_(options_.seed), started_at_(now), next_request_(now),
       next_heartbeat_(now) {
@@ -77,8 +76,7 @@
 
 bool directory_follower::is_outage(const table_state& state,
                                    time_point now) const {
-    return state.failing_since &&
-           now - *state.failing_since > shortest_outage;
+    return state.failing_since && now - *state.failing_since > shortest_outage;
 }
 
 // A read of the routes waits at the store for a change, so only a failure of
@@ -91,15 +89,14 @@
     if (!routing.read_at || !servers.read_at) {
         return std::nullopt;
     }
-    return routing.failing_since
-               ? std::min(*routing.read_at, *servers.read_at)
-               : *servers.read_at;
+    return routing.failing_since ? std::min(*routing.read_at, *servers.read_at)
+                                 : *servers.read_at;
 }
 
 duration directory_follower::age(time_point now) const {
     const auto own = own_read_at();
-    const auto latest = std::max(own.value_or(time_point{}),
-                                 told_at_.value_or(time_point{}));
+    const auto latest =
+        std::max(own.value_or(time_point{}), told_at_.value_or(time_point{}));
     return now - latest;
 }
 
@@ -127,8 +124,7 @@
         return true;
     }
     const auto step = std::min<duration>(
-        longest_fallback,
-        fallback_step * static_cast<duration::rep>(rank));
+        longest_fallback, fallback_step * static_cast<duration::rep>(rank));
     return !told_at_ || now - *told_at_ > options_.silence + step;
 }
 
@@ -147,7 +143,7 @@
     }
     const bool waits = table == store_table::routing;
     out.emplace_back(read_changes{table, *state.position,
-                               waits ? options_.change_wait : duration{}});
+                                  waits ? options_.change_wait : duration{}});
 }
 
 directory_follower::actions directory_follower::on_tick(time_point now) {
@@ -220,11 +216,6 @@
 void directory_follower::hold_removals(const table_state& state,
                                        std::vector<raw_row>& rows,
                                        time_point now) {
-    for (const auto& row : rows) {
-        if (!row.deleted) {
-            held_.erase(row.key);
-        }
-    }
     const bool lately =
         state.returned_at && now - *state.returned_at < options_.return_hold;
     if (!lately) {
@@ -269,7 +260,7 @@
     return std::exchange(changes_, {});
 }
 
-directory_follower::actions directory_follower::on_page(store_page page,
+directory_follower::actions directory_follower::on_page(const store_page& page,
                                                         time_point now) {
     actions out;
     auto& state = state_of(page.table);
@@ -283,6 +274,11 @@
     state.read_at = now;
     const bool waited = page.table == store_table::routing && !page.snapshot;
     state.next_read = waited ? now : now + options_.read_pause;
+    for (const auto& row : page.rows) {
+        if (!row.deleted) {
+            held_.erase(row.key); // registered again
+        }
+    }
     auto rows = keep_changed(page.rows);
     add_missing(page, rows);
     hold_removals(state, rows, now);
@@ -293,9 +289,9 @@
     return out;
 }
 
-directory_follower::actions
-directory_follower::on_failed(store_table table, store_failure failure,
-                              time_point now) {
+directory_follower::actions directory_follower::on_failed(store_table table,
+                                                          store_failure failure,
+                                                          time_point now) {
     auto& state = state_of(table);
     state.asked = false;
     if (failure == store_failure::history_gone) {
@@ -332,8 +328,7 @@
                                const peer_message& message, time_point now) {
     actions out;
     if (const auto* beat = std::get_if<heartbeat>(&message)) {
-        const bool known =
-            members_.find(beat->sender.id, now).has_value();
+        const bool known = members_.find(beat->sender.id, now).has_value();
         members_.on_heartbeat(beat->sender, beat->sequence, now);
         members_.on_hearsay(beat->members, now);
         if (!known && now - started_at_ < acquaintance) {
@@ -343,8 +338,7 @@
         on_rows(from, *rows, now, out);
     } else {
         table_rows answer;
-        answer.age =
-            own_read_at() ? now - *own_read_at() : duration::max() / 2;
+        answer.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
         answer.rows = directory_.rows_after(
             std::get<table_request>(message).have_version);
         answer.digest = directory_.digest();
--- a/src/decisions/knowledge/routing.cpp
+++ b/src/decisions/knowledge/routing.cpp
@@ -48,7 +48,8 @@
 
     bool has(const std::string& name) const { return fields_.contains(name); }
 
-    template <class Number> Number number(const std::string& name) const {
+    template <class Number>
+    Number number(const std::string& name) const {
         return to_number<Number>(name, text(name));
     }
 
@@ -100,8 +101,8 @@
 
 std::string write_route(const route& value) {
     std::string text =
-        "host=" + value.host + " prefix=" + value.prefix + " repeats=" +
-        (value.repeats == repetition::repeatable ? "yes" : "no") +
+        "host=" + value.host + " prefix=" + value.prefix +
+        " repeats=" + (value.repeats == repetition::repeatable ? "yes" : "no") +
         " attempts=" + std::to_string(value.max_attempts) +
         " priority=" + std::to_string(value.priority) +
         " services=" + write_services(value.services);
@@ -169,8 +170,7 @@
     return best;
 }
 
-const service_terms&
-routing_table::terms_of(std::string_view service) const {
+const service_terms& routing_table::terms_of(std::string_view service) const {
     static const service_terms defaults;
     const auto found = services.find(service);
     return found == services.end() ? defaults : found->second;
@@ -181,17 +181,15 @@
     row.key = routing_row_key;
     row.version = revision;
     row.cells.push_back({std::string(version_cell), table.version});
-    row.cells.push_back(
-        {std::string(limits_cell), write_limits(table.limits)});
+    row.cells.push_back({std::string(limits_cell), write_limits(table.limits)});
     for (const auto& item : table.routes) {
         row.cells.push_back(
             {std::string(route_cell) + item.name, write_route(item)});
     }
     for (const auto& [name, terms] : table.services) {
-        row.cells.push_back(
-            {std::string(service_cell) + name,
-             "health=" + terms.health_path +
-                 " connections=" + std::to_string(terms.max_connections)});
+        row.cells.push_back({std::string(service_cell) + name,
+                             "health=" + terms.health_path + " connections=" +
+                                 std::to_string(terms.max_connections)});
     }
     return row;
 }
--- a/src/decisions/placing/expected_time.cpp
+++ b/src/decisions/placing/expected_time.cpp
@@ -45,8 +45,7 @@
     }
     double total = work;
     if (!has_free_slot(view)) {
-        const double ahead =
-            std::max(0.0, after - slots) + view.load.waiting;
+        const double ahead = std::max(0.0, after - slots) + view.load.waiting;
         total += work * std::max(1.0, ahead) / slots;
     }
     if (!view.same_domain) {
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -56,7 +56,8 @@
     return part * to_ms(objective);
 }
 
-template <class... Visitors> struct overloaded : Visitors... {
+template <class... Visitors>
+struct overloaded : Visitors... {
     using Visitors::operator()...;
 };
 template <class... Visitors>
@@ -96,8 +97,7 @@
 double request_router::distrust_of(const server_entry& entry,
                                    time_point now) const {
     const std::chrono::duration<double> passed = now - entry.distrust_at;
-    return entry.distrust *
-           std::exp2(-passed.count() / distrust_half_life_s);
+    return entry.distrust * std::exp2(-passed.count() / distrust_half_life_s);
 }
 
 void request_router::note_outcome(const std::string& server, bool good,
@@ -128,8 +128,7 @@
         view.sent_since = entry.sent_since;
     }
     view.cold = now < server.cold_until;
-    view.same_domain =
-        server.info.failure_domain == options_.failure_domain;
+    view.same_domain = server.info.failure_domain == options_.failure_domain;
     view.distrust = distrust_of(entry, now);
     view.work_ms = work_of(request);
     view.objective_ms = to_ms(request.objective);
@@ -177,18 +176,15 @@
                                  actions& out) {
     auto servers = candidates(request);
     std::erase_if(servers, [&](const known_server* server) {
-        const auto& id = server->info.id;
-        return now < entry_of(id).silent_until ||
-               std::find(request.probed.begin(), request.probed.end(), id) !=
-                   request.probed.end();
+        return now < entry_of(server->info.id).silent_until;
     });
     request.pending.clear();
     unsigned sent = 0;
     while (sent < count && !servers.empty()) {
         boost::random::uniform_int_distribution<std::size_t> draw(
             0, servers.size() - 1);
-        const auto at = servers.begin() +
-                        static_cast<std::ptrdiff_t>(draw(engine_));
+        const auto at =
+            servers.begin() + static_cast<std::ptrdiff_t>(draw(engine_));
         const auto& server = **at;
         servers.erase(at);
         auto& entry = entry_of(server.info.id);
@@ -201,9 +197,8 @@
         const auto id = probe_id{next_probe_++};
         probes_[id] = {request.id, server.info.id};
         request.pending.push_back(id);
-        request.probed.push_back(server.info.id);
-        const auto share = request.max_connections /
-                           std::max<std::size_t>(1, instances_);
+        const auto share =
+            request.max_connections / std::max<std::size_t>(1, instances_);
         out.emplace_back(probe_order{
             id, server.info.id, server.info.address, request.health_path,
             std::max(least_connections, static_cast<unsigned>(share)),
@@ -226,9 +221,9 @@
     entry.sent_since = 0;
 }
 
-request_router::actions
-request_router::on_load(std::string_view server,
-                        const server_load_sample& load, time_point now) {
+request_router::actions request_router::on_load(std::string_view server,
+                                                const server_load_sample& load,
+                                                time_point now) {
     actions out;
     const std::string id(server);
     take_load(id, load, now);
@@ -260,8 +255,7 @@
         }
         const auto view = view_of(*best, *server, now);
         const double expected = expected_time_ms(view);
-        if (!has_useful_slot(view) ||
-            expected > to_ms(best->limit_at - now)) {
+        if (!has_useful_slot(view) || expected > to_ms(best->limit_at - now)) {
             return;
         }
         place(*best, {id, expected, true, true}, 1, now, out);
@@ -270,19 +264,20 @@
 
 // Requests that can still meet their objective first, then by priority, then
 // the oldest.
-bool request_router::goes_before(const request_entry& a,
-                                 const request_entry& b, time_point now) {
+bool request_router::goes_before(const request_entry& a, const request_entry& b,
+                                 time_point now) {
     const auto rank = [&](const request_entry& request) {
-        const bool late = to_ms(request.arrived + request.objective - now) <
-                          work_of(request);
+        const bool late =
+            to_ms(request.arrived + request.objective - now) < work_of(request);
         return std::tuple(late, request.priority, request.arrived);
     };
     return rank(a) < rank(b);
 }
 
-request_router::actions request_router::on_probe_answered(
-    probe_id id, const std::optional<server_load_sample>& load,
-    time_point now) {
+request_router::actions
+request_router::on_probe_answered(probe_id id,
+                                  const std::optional<server_load_sample>& load,
+                                  time_point now) {
     actions out;
     const auto found = probes_.find(id);
     if (found == probes_.end()) {
@@ -295,9 +290,8 @@
     return out;
 }
 
-request_router::actions request_router::on_probe_failed(probe_id id,
-                                                        bool refused,
-                                                        time_point now) {
+request_router::actions
+request_router::on_probe_failed(probe_id id, bool refused, time_point now) {
     actions out;
     const auto found = probes_.find(id);
     if (found == probes_.end()) {
@@ -315,8 +309,7 @@
     return out;
 }
 
-void request_router::probe_settled(probe_id id, time_point now,
-                                   actions& out) {
+void request_router::probe_settled(probe_id id, time_point now, actions& out) {
     const auto probe = probes_.at(id);
     probes_.erase(id);
     const auto found = requests_.find(probe.call);
@@ -327,8 +320,7 @@
     if (std::erase(request.pending, id) == 0 || !request.decide_at) {
         return;
     }
-    if (request.pending.empty() ||
-        good_enough(request, probe.server, now)) {
+    if (request.pending.empty() || good_enough(request, probe.server, now)) {
         decide(request, now, out);
     }
 }
@@ -371,8 +363,7 @@
     if (scored.empty()) {
         if (!running) {
             refuse(request,
-                   request.refused.value_or(
-                       not_run_reason::no_backend_server),
+                   request.refused.value_or(not_run_reason::no_backend_server),
                    now, out);
         }
         return;
@@ -404,13 +395,12 @@
         }
         return;
     }
-    std::erase_if(scored,
-                  [](const scored_server& item) { return !item.told; });
-    const auto best = *std::min_element(
-        scored.begin(), scored.end(),
-        [](const scored_server& a, const scored_server& b) {
-            return a.expected_ms < b.expected_ms;
-        });
+    std::erase_if(scored, [](const scored_server& item) { return !item.told; });
+    const auto best =
+        *std::min_element(scored.begin(), scored.end(),
+                          [](const scored_server& a, const scored_server& b) {
+                              return a.expected_ms < b.expected_ms;
+                          });
     const double left = to_ms(request.limit_at - now);
     if (running) {
         if (best.free_slot) {
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -76,9 +76,9 @@
     };
     const auto* table = directory_.routing();
     if (stopping_) {
-        out.emplace_back(finish_order{
-            request.id, not_run{not_run_reason::instance_stopping},
-            stopping_retry});
+        out.emplace_back(
+            finish_order{request.id, not_run{not_run_reason::instance_stopping},
+                         stopping_retry});
         return out;
     }
     if (table == nullptr || directory_.server_count() == 0) {
@@ -138,8 +138,8 @@
     std::erase(request.running, id);
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         note_outcome(attempt.server, !answered->server_error, 1, now);
-        const bool again = answered->server_error &&
-                           request.repeats == repetition::repeatable;
+        const bool again =
+            answered->server_error && request.repeats == repetition::repeatable;
         if (again && !request.running.empty()) {
             request.lost = may_have_run_reason::connection_lost;
             return out; // the other attempt may still succeed
@@ -175,9 +175,8 @@
                            const attempt_entry& attempt, double answer_kb,
                            time_point now) {
     auto& service = entry_of_service(request.service);
-    auto& work =
-        service.work_ms.try_emplace(request.route, work_of(request))
-            .first->second;
+    auto& work = service.work_ms.try_emplace(request.route, work_of(request))
+                     .first->second;
     const double seen =
         to_ms(now - attempt.sent_at) / std::max(1.0, attempt.load.slowness);
     const bool usual =
@@ -187,8 +186,8 @@
             attempt.load.running + 1 > quiet_slots(attempt.load.slots);
         service.crowding.on_completed(crowded, seen / work);
     }
-    auto& size = service.answer_kb.try_emplace(request.route, answer_kb)
-                     .first->second;
+    auto& size =
+        service.answer_kb.try_emplace(request.route, answer_kb).first->second;
     constexpr double new_part = 0.1;
     size += new_part * (answer_kb - size);
     work += new_part * (std::min(seen, longest_learned * work) - work);
@@ -201,8 +200,7 @@
     if (request.lost && request.repeats == repetition::at_most_once) {
         return false;
     }
-    return entry_of_service(request.service)
-        .repeats->try_take(instances_, now);
+    return entry_of_service(request.service).repeats->try_take(instances_, now);
 }
 
 void request_router::send_again_or_finish(request_entry& request,
@@ -224,8 +222,8 @@
         finish(request, may_have_run{*request.lost}, std::nullopt, out);
         return;
     }
-    finish(request, not_run{reason},
-           retry_time(request, work_of(request), now), out);
+    finish(request, not_run{reason}, retry_time(request, work_of(request), now),
+           out);
 }
 
 // When a slot is likely to be free again: about the time of one request, and
@@ -233,15 +231,14 @@
 duration request_router::retry_time(const request_entry& request,
                                     double wait_ms, time_point now) {
     boost::random::uniform_real_distribution<double> spread(0.5, 1.5);
-    const auto wait = duration(
-        static_cast<duration::rep>(wait_ms * spread(engine_) * 1000));
-    return std::min(wait, std::max(duration::zero(),
-                                   (request.limit_at - now) / 3));
+    const auto wait =
+        duration(static_cast<duration::rep>(wait_ms * spread(engine_) * 1000));
+    return std::min(wait,
+                    std::max(duration::zero(), (request.limit_at - now) / 3));
 }
 
 void request_router::finish(request_entry& request, const verdict& outcome,
-                            std::optional<duration> retry_after,
-                            actions& out) {
+                            std::optional<duration> retry_after, actions& out) {
     out.emplace_back(finish_order{request.id, outcome, retry_after});
     drop(request.id, std::nullopt, out);
 }
@@ -271,10 +268,9 @@
         if (known) {
             ready.push_back(item.second);
         } else if (now >= item.second.give_up_at) {
-            out.emplace_back(
-                finish_order{item.first,
-                             not_run{not_run_reason::table_unconfirmed},
-                             directory_retry});
+            out.emplace_back(finish_order{
+                item.first, not_run{not_run_reason::table_unconfirmed},
+                directory_retry});
         }
         return known || now >= item.second.give_up_at;
     });
@@ -289,8 +285,7 @@
     }
 }
 
-request_router::actions request_router::on_caller_gone(call_id id,
-                                                       time_point) {
+request_router::actions request_router::on_caller_gone(call_id id, time_point) {
     actions out;
     early_.erase(id);
     if (requests_.contains(id)) {
@@ -370,8 +365,7 @@
                 request.lost = may_have_run_reason::answer_timeout;
             }
             if (request.lost) {
-                finish(request, may_have_run{*request.lost}, std::nullopt,
-                       out);
+                finish(request, may_have_run{*request.lost}, std::nullopt, out);
             } else {
                 finish(request, not_run{not_run_reason::deadline_passed},
                        std::nullopt, out);
@@ -380,7 +374,6 @@
             decide(request, now, out);
         } else if (request.retry_at && now >= *request.retry_at) {
             request.retry_at.reset();
-            request.probed.clear();
             begin_round(request, now, out);
         } else if (hedge_due(request)) {
             try_hedge(request, now, out);
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -37,8 +37,8 @@
     : loop_(loop), platform_(platform), follower_(follower), peers_(peers),
       counts_(counts), options_(std::move(options)),
       pool_(loop, make_pool_options(options_.request_timeout)) {
-    timer_ = loop.make_timer(
-        [this] { carry_out(follower_.on_tick(loop_.now())); });
+    timer_ =
+        loop.make_timer([this] { carry_out(follower_.on_tick(loop_.now())); });
     for (const auto table : {store_table::routing, store_table::servers}) {
         state_of(table).timeout = loop.make_timer([this, table] {
             pool_.cancel(state_of(table).exchange);
@@ -63,7 +63,7 @@
     carry_out(follower_.begin_stop(loop_.now()));
 }
 
-void directory_sync::carry_out(directory_follower::actions actions) {
+void directory_sync::carry_out(const directory_follower::actions& actions) {
     for (const auto& item : actions) {
         std::visit([this](const auto& order) { run(order); }, item);
     }
@@ -95,8 +95,7 @@
 }
 
 void directory_sync::run(const read_changes& order) {
-    begin_read(order.table, platform_.changes_target(order), false,
-               order.wait);
+    begin_read(order.table, platform_.changes_target(order), false, order.wait);
 }
 
 void directory_sync::begin_read(store_table table, const std::string& target,
@@ -116,7 +115,9 @@
             read.body += piece;
         }
     };
-    events.end = [this, table] { on_end(table); };
+    events.end = [this, table] {
+        on_end(table);
+    };
     events.failed = [this, table](const exchange_failure&) {
         on_failed(table, "connection failed", store_failure::unreachable);
     };
@@ -163,9 +164,8 @@
     if (answer.continue_from) {
         const auto from = *answer.continue_from;
         read.collected = std::move(answer);
-        begin_read(table,
-                   platform_.snapshot_target(read_snapshot{table}, from), true,
-                   {});
+        begin_read(table, platform_.snapshot_target(read_snapshot{table}, from),
+                   true, {});
         return;
     }
     event_loop::schedule(read.timeout, std::chrono::hours(24));
@@ -175,7 +175,7 @@
                   {{"table", std::string(table_name(table))},
                    {"revision", std::to_string(answer.page.revision)}});
     }
-    carry_out(follower_.on_page(std::move(answer.page), loop_.now()));
+    carry_out(follower_.on_page(answer.page, loop_.now()));
 }
 
 void directory_sync::on_failed(store_table table, std::string_view reason,
@@ -185,11 +185,11 @@
     counts_.count_platform_request(table_name(table), false);
     if (!read.failing) {
         read.failing = true;
-        log_event(event_number::platform_failed,
-                  {{"table", std::string(table_name(table))},
-                   {"reason", std::string(reason)},
-                   {"age_ms",
-                    std::to_string(to_ms(follower_.age(loop_.now())))}});
+        log_event(
+            event_number::platform_failed,
+            {{"table", std::string(table_name(table))},
+             {"reason", std::string(reason)},
+             {"age_ms", std::to_string(to_ms(follower_.age(loop_.now())))}});
     }
     carry_out(follower_.on_failed(table, failure, loop_.now()));
 }
--- a/src/router/directory_sync.hpp
+++ b/src/router/directory_sync.hpp
@@ -45,12 +45,12 @@
         scoped_event timeout;
     };
 
-    void carry_out(directory_follower::actions actions);
+    void carry_out(const directory_follower::actions& actions);
     void run(const read_snapshot& order);
     void run(const read_changes& order);
     void run(const send_to_peer& order);
-    void begin_read(store_table table, const std::string& target,
-                    bool snapshot, duration wait);
+    void begin_read(store_table table, const std::string& target, bool snapshot,
+                    duration wait);
     void on_end(store_table table);
     void on_failed(store_table table, std::string_view reason,
                    store_failure failure);
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -99,16 +99,20 @@
     events.head = [this, id](const http_answer_head& head) {
         on_head(id, head);
     };
-    events.body = [this, id](std::string_view piece) { on_body(id, piece); };
-    events.end = [this, id] { on_end(id); };
+    events.body = [this, id](std::string_view piece) {
+        on_body(id, piece);
+    };
+    events.end = [this, id] {
+        on_end(id);
+    };
     events.failed = [this, id](const exchange_failure& failure) {
         on_failed(id, failure);
     };
-    attempt.exchange = pool_.start(
-        order.address, request,
-        {order.connections,
-         order.repeatable ? proven_alive_repeatable : proven_alive},
-        std::move(events));
+    attempt.exchange =
+        pool_.start(order.address, request,
+                    {order.connections,
+                     order.repeatable ? proven_alive_repeatable : proven_alive},
+                    std::move(events));
 }
 
 void request_gateway::run(const cancel_order& order) {
@@ -157,8 +161,8 @@
     }
     if (const auto fault = find_fault(request->second, head)) {
         pool_.cancel(attempt.exchange);
-        end_attempt(
-            id, attempt_unknown{may_have_run_reason::answer_malformed}, *fault);
+        end_attempt(id, attempt_unknown{may_have_run_reason::answer_malformed},
+                    *fault);
         return;
     }
     attempt.head = head;
@@ -209,12 +213,12 @@
         return;
     }
     constexpr double bytes_per_kb = 1000;
-    end_attempt(id,
-                attempt_answered{head.status >= first_server_error,
-                                 static_cast<double>(
-                                     found->second.body.size()) /
-                                     bytes_per_kb},
-                "status " + std::to_string(head.status));
+    end_attempt(
+        id,
+        attempt_answered{head.status >= first_server_error,
+                         static_cast<double>(found->second.body.size()) /
+                             bytes_per_kb},
+        "status " + std::to_string(head.status));
 }
 
 void request_gateway::on_failed(attempt_id id,
@@ -261,15 +265,19 @@
         "probe-" + std::to_string(static_cast<std::uint64_t>(id));
     http_request request;
     request.target = order.path;
-    request.headers.push_back(
-        {platform_.headers.request_id, probe.request_id});
+    request.headers.push_back({platform_.headers.request_id, probe.request_id});
     exchange_events events;
     events.head = [this, id](const http_answer_head& head) {
         on_probe_head(id, head);
     };
-    events.body = [](std::string_view) {};
-    events.end = [this, id] { end_probe(id); };
-    events.failed = [this, id](const exchange_failure&) { end_probe(id); };
+    events.body = [](std::string_view) {
+    };
+    events.end = [this, id] {
+        end_probe(id);
+    };
+    events.failed = [this, id](const exchange_failure&) {
+        end_probe(id);
+    };
     probe.timeout = loop_.make_timer([this, id] {
         const auto found = probes_.find(id);
         if (found != probes_.end()) {
@@ -283,8 +291,7 @@
                                  std::move(events));
 }
 
-void request_gateway::on_probe_head(probe_id id,
-                                    const http_answer_head& head) {
+void request_gateway::on_probe_head(probe_id id, const http_answer_head& head) {
     const auto found = probes_.find(id);
     if (found == probes_.end()) {
         return;
@@ -318,8 +325,8 @@
     const bool refused = found->second.refused;
     const bool alive = found->second.alive;
     // The timer's own callback may be running.
-    loop_.defer([kept = std::make_shared<held_probe>(
-                     std::move(found->second))] {});
+    loop_.defer(
+        [kept = std::make_shared<held_probe>(std::move(found->second))] {});
     probes_.erase(found);
     if (alive) {
         carry_out(router_.on_probe_answered(id, load, loop_.now()));
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -112,10 +112,8 @@
     const auto named = find_header(headers, "Connection");
     for (const auto& field : headers) {
         const bool set_here =
-            equal_ignoring_case(field.name,
-                                platform_.headers.time_left_ms) ||
-            equal_ignoring_case(field.name,
-                                platform_.headers.expected_server);
+            equal_ignoring_case(field.name, platform_.headers.time_left_ms) ||
+            equal_ignoring_case(field.name, platform_.headers.expected_server);
         const bool for_connection =
             is_hop_by_hop(field.name) ||
             (named && equal_ignoring_case(*named, field.name));
@@ -134,7 +132,8 @@
     return request;
 }
 
-void request_gateway::on_request(std::shared_ptr<incoming_request> incoming) {
+void request_gateway::on_request(
+    const std::shared_ptr<incoming_request>& incoming) {
     const auto id = call_id{next_call_++};
     const auto now = loop_.now();
     const auto headers = incoming->headers();
@@ -160,9 +159,8 @@
         }
         log_.write(event_number::caller_gone,
                    {{"id", found->second.id},
-                    {"after_ms",
-                     std::to_string(to_ms(loop_.now() -
-                                          found->second.arrived))}},
+                    {"after_ms", std::to_string(to_ms(loop_.now() -
+                                                      found->second.arrived))}},
                    loop_.now());
         forget(found);
         carry_out(router_.on_caller_gone(id, loop_.now()));
@@ -200,8 +198,7 @@
         }
     }
     const auto now = loop_.now();
-    counts_.count_call(held.service, completed{},
-                       now - found->second.arrived);
+    counts_.count_call(held.service, completed{}, now - found->second.arrived);
     log_.write(event_number::request_finished,
                {{"id", found->second.id},
                 {"status", std::to_string(held.head.status)},
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -23,7 +23,7 @@
     request_gateway(event_loop& loop, const platform_binding& platform,
                     request_router& router, metrics& counts);
 
-    void on_request(std::shared_ptr<incoming_request> incoming);
+    void on_request(const std::shared_ptr<incoming_request>& incoming);
 
     // From now on every answer closes its connection.
     void begin_stop();
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -70,27 +70,23 @@
 router_options make_router_options(const settings::router_settings& values) {
     router_options options;
     options.policy = make_policy(values.placing);
-    options.repeats = {values.budgets.repeat_ratio,
-                       values.budgets.repeat_slack,
+    options.repeats = {values.budgets.repeat_ratio, values.budgets.repeat_slack,
                        from_seconds(values.budgets.repeat_window)};
     options.probes_per_second = values.budgets.probes_per_second;
     options.hedge_at = values.placing.hedge_at;
     options.failure_domain = values.router.failure_domain;
-    options.max_requests =
-        static_cast<std::size_t>(values.router.max_requests);
+    options.max_requests = static_cast<std::size_t>(values.router.max_requests);
     return options;
 }
 
-follower_options
-make_follower_options(const settings::router_settings& values,
-                      std::uint64_t seed) {
+follower_options make_follower_options(const settings::router_settings& values,
+                                       std::uint64_t seed) {
     follower_options options;
     options.read_pause = milliseconds(values.store.read_pause);
     options.readers = static_cast<std::size_t>(values.store.readers);
     options.silence = milliseconds(values.store.silence);
     options.return_hold = milliseconds(values.store.return_hold);
-    options.heartbeat_interval =
-        milliseconds(values.peers.heartbeat_interval);
+    options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
     options.members.heartbeat_interval = options.heartbeat_interval;
     options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
     options.members.suspect_after = milliseconds(values.peers.suspect_after);
@@ -158,11 +154,11 @@
 
 void router_process::run() {
     std::signal(SIGPIPE, SIG_IGN);
-    upkeep_timer_ = loop_.every(upkeep_interval, [this] { update_instances(); });
+    upkeep_timer_ =
+        loop_.every(upkeep_interval, [this] { update_instances(); });
     term_signal_ = loop_.on_signal(SIGTERM, [this] { begin_stop(); });
-    reload_signal_ = loop_.on_signal(SIGHUP, [] {
-        log_event(event_number::reload_ignored, {});
-    });
+    reload_signal_ = loop_.on_signal(
+        SIGHUP, [] { log_event(event_number::reload_ignored, {}); });
     log_event(event_number::started,
               {{"incarnation", to_string(follower_->members().own().id)},
                {"callers", settings_.router.callers},
@@ -188,8 +184,7 @@
               {{"version", routing == nullptr ? "-" : routing->version},
                {"servers", std::to_string(known.server_count())},
                {"changed", boost::algorithm::join(change.servers, ",")},
-               {"age_ms",
-                std::to_string(to_ms(follower_->age(loop_.now())))}});
+               {"age_ms", std::to_string(to_ms(follower_->age(loop_.now())))}});
     gateway_->wake();
 }
 
@@ -202,13 +197,11 @@
 void router_process::answer_metrics(incoming_request& incoming) {
     const auto now = loop_.now();
     counts_.set_gauge("requests", static_cast<double>(router_->requests()));
-    counts_.set_gauge(
-        "instances",
-        static_cast<double>(follower_->sharing_instances(now)));
+    counts_.set_gauge("instances",
+                      static_cast<double>(follower_->sharing_instances(now)));
     counts_.set_gauge("directory_age_ms", to_ms(follower_->age(now)));
     counts_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
-    incoming.reply(status_ok,
-                   {{"Content-Type", "text/plain; version=0.0.4"}},
+    incoming.reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                    counts_.text());
 }
 
@@ -232,8 +225,7 @@
     if (stopping > linger) {
         router_->refuse_arrivals();
     }
-    const auto grace =
-        from_seconds(settings_.router.stop_grace * grace_part);
+    const auto grace = from_seconds(settings_.router.stop_grace * grace_part);
     if ((stopping > linger && idle) || stopping > grace) {
         loop_.stop();
     }
--- /dev/null
+++ b/test/unit/directory_test.cpp
@@ -0,0 +1,317 @@
+#include "lacewingbeam/directory_follower.hpp"
+
+#include <criterion/criterion.h>
+#include <cstring>
+
+// Routes, the directory, and how it is followed.
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point start{seconds(100)};
+
+routing_table make_table(const std::string& version) {
+    routing_table table;
+    table.version = version;
+    for (const auto* prefix : {"/a/", "/a/b/"}) {
+        route item;
+        item.name = std::string("r") + prefix;
+        item.host = "host.example";
+        item.prefix = prefix;
+        item.services = {{"one", 90}, {"two", 10}};
+        item.time_limit = milliseconds(1200);
+        table.routes.push_back(item);
+    }
+    table.services["one"] = {"/health", 220};
+    return table;
+}
+
+registered_server make_server(const std::string& id, bool leaving = false) {
+    registered_server server;
+    server.id = id;
+    server.service = "one";
+    server.address = "127.0.0.1:80";
+    server.leaving = leaving;
+    return server;
+}
+
+raw_row removal(const std::string& id, std::uint64_t revision) {
+    return {std::string(server_row_prefix) + id, revision, true, {}};
+}
+
+member make_member(std::uint64_t number) {
+    random_engine engine(number);
+    member value;
+    value.id = draw_incarnation(engine);
+    value.peer_address = "127.0.0.1:" + std::to_string(number);
+    value.caller_address = value.admin_address = value.peer_address;
+    return value;
+}
+
+class follower_world {
+public:
+    explicit follower_world(std::uint64_t number = 1)
+        : follower(make_options(number), start) {}
+
+    void read_all(std::uint64_t revision, std::vector<raw_row> servers,
+                  time_point now) {
+        follower.on_tick(now);
+        follower.on_page({store_table::routing,
+                          true,
+                          revision,
+                          {make_row(make_table("1"), 1)}},
+                         now);
+        follower.on_page(
+            {store_table::servers, true, revision, std::move(servers)}, now);
+    }
+
+    bool knows(const std::string& id) const {
+        return follower.known().find(id) != nullptr;
+    }
+
+    directory_follower follower;
+
+private:
+    static follower_options make_options(std::uint64_t number) {
+        follower_options options;
+        options.own = make_member(number);
+        return options;
+    }
+};
+
+template <class Action>
+std::vector<Action> pick(const directory_follower::actions& actions) {
+    std::vector<Action> found;
+    for (const auto& item : actions) {
+        if (const auto* one = std::get_if<Action>(&item)) {
+            found.push_back(*one);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+Test(routing, longest_prefix_of_the_host_is_chosen) {
+    const auto table = make_table("1");
+    cr_assert_eq(table.match("host.example", "/a/b/c")->prefix, "/a/b/");
+    cr_assert_eq(table.match("HOST.example:80", "/a/x")->prefix, "/a/");
+    cr_assert_null(table.match("host.example", "/b/"));
+    cr_assert_null(table.match("other.example", "/a/"));
+}
+
+Test(routing, table_survives_its_row_form) {
+    const auto table = make_table("0000000c");
+    cr_assert(parse_routing(make_row(table, 5)) == table);
+}
+
+Test(routing, unreadable_row_is_rejected_with_its_cell) {
+    auto row = make_row(make_table("1"), 1);
+    row.cells.push_back({"route x", "host=h prefix"});
+    try {
+        parse_routing(row);
+        cr_assert_fail("no error");
+    } catch (const table_error& problem) {
+        cr_assert_not_null(strstr(problem.what(), "route x"));
+    }
+}
+
+Test(directory, lower_revision_never_reverts_a_row) {
+    directory known;
+    known.apply(std::vector{make_row(make_server("s", true), 9)}, start);
+    known.apply(std::vector{make_row(make_server("s"), 8)}, start);
+    cr_assert(known.available("one").empty());
+    known.apply(std::vector{make_row(make_table("2"), 12)}, start);
+    known.apply(std::vector{make_row(make_table("1"), 11)}, start);
+    cr_assert_eq(known.routing()->version, "2");
+}
+
+Test(directory, removed_server_comes_back_only_with_a_newer_row) {
+    directory known;
+    known.apply(std::vector{make_row(make_server("s"), 3), removal("s", 5)},
+                start);
+    known.apply(std::vector{make_row(make_server("s"), 4)}, start);
+    cr_assert(known.available("one").empty());
+    known.apply(std::vector{make_row(make_server("s"), 6)}, start);
+    cr_assert_eq(known.available("one").size(), 1);
+}
+
+Test(directory, unreadable_server_names_nothing_to_use) {
+    directory known;
+    auto row = make_row(make_server("s"), 3);
+    known.apply(std::vector{row}, start);
+    row.version = 4;
+    row.cells[3].value = "many"; // slots
+    const auto change = known.apply(std::vector{row}, start);
+    cr_assert_eq(change.rejected.size(), 1);
+    cr_assert(known.available("one").empty());
+}
+
+Test(directory, digest_depends_on_content_not_on_order) {
+    directory a;
+    directory b;
+    const auto one = make_row(make_server("s"), 3);
+    const auto two = make_row(make_server("t"), 4);
+    a.apply(std::vector{one, two}, start);
+    b.apply(std::vector{two}, start);
+    cr_assert_neq(a.digest(), b.digest());
+    b.apply(std::vector{one}, start);
+    cr_assert_eq(a.digest(), b.digest());
+    a.apply(std::vector{removal("t", 8)}, start);
+    b.apply(std::vector{removal("t", 8)}, start);
+    cr_assert_eq(a.digest(), b.digest());
+}
+
+Test(follower, start_reads_both_tables) {
+    follower_world world;
+    const auto out = world.follower.on_tick(start);
+    cr_assert_eq(pick<read_snapshot>(out).size(), store_table_count);
+}
+
+Test(follower, snapshot_removes_what_it_lacks) {
+    follower_world world;
+    world.read_all(
+        5, {make_row(make_server("s"), 2), make_row(make_server("t"), 3)},
+        start);
+    world.follower.on_failed(store_table::servers, store_failure::history_gone,
+                             start);
+    world.follower.on_page(
+        {store_table::servers, true, 9, {make_row(make_server("s"), 2)}},
+        start + seconds(1));
+    cr_assert(world.knows("s"));
+    cr_assert_not(world.knows("t"));
+}
+
+Test(follower, outage_entries_that_lapsed_are_kept_for_a_moment) {
+    follower_world world;
+    world.read_all(
+        5, {make_row(make_server("s"), 2), make_row(make_server("t"), 3)},
+        start);
+    auto now = start;
+    for (; now < start + seconds(5); now += milliseconds(500)) {
+        world.follower.on_failed(store_table::servers,
+                                 store_failure::unreachable, now);
+    }
+    world.follower.on_page(
+        {store_table::servers, false, 20, {removal("s", 15), removal("t", 16)}},
+        now);
+    cr_assert(world.knows("s"));
+    world.follower.on_page(
+        {store_table::servers, false, 22, {make_row(make_server("s"), 21)}},
+        now + seconds(1));
+    world.follower.on_tick(now + milliseconds(2300));
+    cr_assert(world.knows("s"), "registered again");
+    cr_assert_not(world.knows("t"), "still missing, so it is gone");
+}
+
+Test(follower, outage_does_not_hold_back_a_drain) {
+    follower_world world;
+    world.read_all(5, {make_row(make_server("s"), 2)}, start);
+    world.follower.on_failed(store_table::servers, store_failure::unreachable,
+                             start + seconds(1));
+    world.follower.on_page({store_table::servers,
+                            false,
+                            20,
+                            {make_row(make_server("s", true), 15)}},
+                           start + seconds(5));
+    cr_assert(world.follower.known().available("one").empty());
+}
+
+Test(follower, calm_store_removal_is_believed_at_once) {
+    follower_world world;
+    world.read_all(5, {make_row(make_server("s"), 2)}, start);
+    world.follower.on_page({store_table::servers, false, 7, {removal("s", 7)}},
+                           start + milliseconds(700));
+    cr_assert_not(world.knows("s"));
+}
+
+Test(follower, instance_that_is_told_does_not_read) {
+    // Whichever of the two is the reader, the other hears from it.
+    follower_world a(1);
+    follower_world b(2);
+    const std::vector<raw_row> servers{make_row(make_server("s"), 2)};
+    for (auto* world : {&a, &b}) {
+        world->read_all(5, servers, start);
+        heartbeat beat;
+        beat.sender = world == &a ? b.follower.members().own()
+                                  : a.follower.members().own();
+        beat.sequence = 1;
+        world->follower.on_message(beat.sender.peer_address, beat, start);
+        table_rows told;
+        told.digest = world->follower.known().digest();
+        world->follower.on_message(beat.sender.peer_address, told, start);
+    }
+    const auto now = start + milliseconds(800);
+    a.follower.on_tick(now);
+    b.follower.on_tick(now);
+    cr_assert_neq(a.follower.is_reading(), b.follower.is_reading());
+    // Without word the other reads, too.
+    const auto later = start + milliseconds(2500);
+    a.follower.on_tick(later);
+    b.follower.on_tick(later);
+    cr_assert(a.follower.is_reading() && b.follower.is_reading());
+}
+
+Test(follower, lost_message_is_made_good) {
+    follower_world reader(1);
+    follower_world other(2);
+    const std::vector<raw_row> servers{make_row(make_server("s"), 2)};
+    reader.read_all(5, servers, start);
+    other.read_all(5, servers, start);
+    heartbeat beat;
+    beat.sender = other.follower.members().own();
+    beat.sequence = 1;
+    reader.follower.on_message("127.0.0.1:2", beat, start);
+    // The first message, with the drain, is lost.
+    reader.follower.on_page(
+        {store_table::servers, false, 9, {make_row(make_server("s", true), 9)}},
+        start + milliseconds(100));
+    directory_follower::actions asked;
+    for (int round = 0; round < 3 && asked.empty(); ++round) {
+        const auto now = start + milliseconds(800) * (round + 1);
+        const auto told = pick<send_to_peer>(reader.follower.on_page(
+            {store_table::servers, false, 10, {}}, now));
+        cr_assert_eq(told.size(), 1);
+        asked = other.follower.on_message("127.0.0.1:1", told[0].message, now);
+    }
+    cr_assert_eq(pick<send_to_peer>(asked).size(), 1);
+    const auto answer = pick<send_to_peer>(reader.follower.on_message(
+        "127.0.0.1:2", pick<send_to_peer>(asked)[0].message, start));
+    other.follower.on_message("127.0.0.1:1", answer[0].message, start);
+    cr_assert(other.follower.known().available("one").empty());
+}
+
+Test(follower, unchanged_registrations_are_not_told_on) {
+    follower_world world;
+    world.read_all(5, {make_row(make_server("s"), 2)}, start);
+    world.follower.take_changes();
+    world.follower.on_page(
+        {store_table::servers, false, 8, {make_row(make_server("s"), 8)}},
+        start + milliseconds(700));
+    cr_assert(world.follower.take_changes().servers.empty());
+}
+
+Test(follower, fresh_instance_does_not_take_the_whole_of_a_shared_budget) {
+    follower_world world;
+    cr_assert_geq(world.follower.sharing_instances(start), 10);
+    cr_assert_eq(world.follower.sharing_instances(start + seconds(5)), 1);
+}
+
+Test(follower, failed_reads_back_off) {
+    follower_world world;
+    world.follower.on_tick(start);
+    unsigned reads = 0;
+    for (auto now = start; now < start + seconds(4); now += milliseconds(10)) {
+        world.follower.on_failed(store_table::servers,
+                                 store_failure::unreachable, now);
+        const auto next = world.follower.next_due();
+        cr_assert_geq(next.time_since_epoch().count(), 0);
+        for (const auto& order :
+             pick<read_snapshot>(world.follower.on_tick(now))) {
+            reads += order.table == store_table::servers ? 1 : 0;
+        }
+    }
+    cr_assert_leq(reads, 60);
+}
--- /dev/null
+++ b/test/unit/platform_test.cpp
@@ -0,0 +1,162 @@
+#include "binding.hpp"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+// What the users' platform says, translated.
+using namespace lacewingbeam;
+using namespace lacewingbeam::platform;
+
+namespace {
+
+const std::string config =
+    R"({"version":"00000007","resources":[
+{"type":"routes","metadata":{"name":"r1"},"spec":{"host":"h.example",
+"prefix":"/a/","routeKind":"unsafe","timeoutMs":1500,"sloMs":400,
+"priority":1,"service":"one","maxAttempts":2}},
+{"type":"routes","metadata":{"name":"r2"},"spec":{"host":"h.example",
+"prefix":"/b/","routeKind":"download","priority":2,"trafficSplit":[
+{"service":"one","weight":90},{"service":"two","weight":10}]}},
+{"type":"services","metadata":{"name":"one"},"spec":{"healthPath":"/healthz",
+"maxConns":220,"protocol":"h1","tls":false}},
+{"type":"new-kind","metadata":{},"spec":{}},
+{"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})";
+
+const std::string registration =
+    R"({"service":"one","addr":"10.128.0.9:8080","zone":"a","version":"v1",
+"capacity":3,"state":"ready","coldLeftMs":500,"sequence":4,
+"born":1790000000000})";
+
+std::string encode_base64(const std::string& text) {
+    std::string out(text.size() * 2 + 4, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(size));
+    return out;
+}
+
+std::string make_page(const std::string& key, const std::string& value) {
+    nlohmann::json row{{"tableName", "t"},
+                       {"part", ""},
+                       {"key", key},
+                       {"value", encode_base64(value)},
+                       {"revision", 12}};
+    return nlohmann::json{{"rows", {row}}, {"revision", 30}, {"nowMs", 1}}
+        .dump();
+}
+
+bool is_usable(const std::string& text) {
+    const auto answer =
+        read_answer(store_table::servers, false, make_page("i-1", text));
+    cr_assert_eq(answer.page.rows.size(), 1);
+    return !answer.page.rows[0].deleted;
+}
+
+} // namespace
+
+Test(config, routes_carry_what_may_be_repeated_and_limits) {
+    const auto table = read_config(config);
+    cr_assert_eq(table.version, "00000007");
+    cr_assert_eq(table.routes.size(), 2);
+    const auto& first = table.routes[0];
+    cr_assert(first.repeats == repetition::at_most_once);
+    cr_assert(first.time_limit == duration(std::chrono::milliseconds(1500)));
+    cr_assert_eq(first.max_attempts, 2);
+    const auto& second = table.routes[1];
+    cr_assert(second.repeats == repetition::repeatable);
+    cr_assert_eq(second.services.size(), 2);
+    cr_assert_not(second.time_limit.has_value());
+    cr_assert_eq(table.terms_of("one").max_connections, 220);
+}
+
+Test(config, unknown_kind_of_route_is_not_repeated) {
+    auto other = config;
+    other.replace(other.find("download"), 8, "mystery-");
+    cr_assert(read_config(other).routes[1].repeats == repetition::at_most_once);
+}
+
+Test(config, unreadable_config_is_named_and_not_applied) {
+    const auto answer =
+        read_answer(store_table::routing, true, make_page("config", "{"));
+    cr_assert(answer.page.rows.empty());
+    cr_assert_eq(answer.problems.size(), 1);
+}
+
+Test(registration, every_field_lands_in_its_place) {
+    const auto server = read_registration("i-1", registration);
+    cr_assert_eq(server.service, "one");
+    cr_assert_eq(server.slots, 3);
+    cr_assert_not(server.leaving);
+    cr_assert_eq(server.started_at, "1790000000000");
+    cr_assert(server.cold_left == duration(std::chrono::milliseconds(500)));
+}
+
+Test(registration, forged_entries_name_no_server) {
+    cr_assert(is_usable(registration));
+    const std::vector<std::pair<std::string, std::string>> forgeries{
+        {"\"ready\"", "\"resting\""},
+        {"\"ready\"", "1"},
+        {"3,", "\"3\","},
+        {"3,", "-3,"},
+        {"3,", "2.5,"},
+        {"10.128.0.9:8080", "nowhere"},
+        {"\"service\"", "\"other\""},
+        {"\"zone\":\"a\"", "\"zone\":7"},
+        {"{", "["}};
+    for (const auto& [from, to] : forgeries) {
+        auto text = registration;
+        text.replace(text.find(from), from.size(), to);
+        cr_assert_not(is_usable(text), "%s", to.c_str());
+    }
+}
+
+Test(registration, random_bytes_are_survived) {
+    random_engine engine(11);
+    boost::random::uniform_int_distribution<int> byte(0, 255);
+    boost::random::uniform_int_distribution<std::size_t> place(
+        0, registration.size() - 1);
+    for (int round = 0; round < 5000; ++round) {
+        auto text = registration;
+        for (int i = 0; i < 3; ++i) {
+            text[place(engine)] = static_cast<char>(byte(engine));
+        }
+        read_answer(store_table::servers, false, make_page("i-1", text));
+        try {
+            read_answer(store_table::servers, true, text);
+        } catch (const store_format_error&) {
+            continue;
+        }
+    }
+}
+
+Test(load, figures_are_read_with_present_slowness) {
+    const auto load = read_load("2, 1,3,250");
+    cr_assert(load.has_value());
+    cr_assert_eq(load->running, 2);
+    cr_assert_eq(load->waiting, 1);
+    cr_assert_eq(load->slots, 3);
+    cr_assert_float_eq(load->slowness, 2.5, 1e-9);
+    cr_assert(read_load("0,0,6").has_value());
+}
+
+Test(load, other_forms_are_no_load) {
+    for (const auto* text :
+         {"", "1,2", "a,b,c", "1,2,0", "1,2,-3", "1,2,3,x"}) {
+        cr_assert_not(read_load(text).has_value(), "%s", text);
+    }
+}
+
+Test(store, snapshot_goes_on_behind_the_last_key) {
+    auto page = nlohmann::json::parse(make_page("i-1", registration));
+    page["hasMore"] = true;
+    const auto answer = read_answer(store_table::servers, true, page.dump());
+    cr_assert(answer.continue_from == std::string("i-1") + '\0');
+    const auto target = make_binding().snapshot_target(
+        read_snapshot{store_table::servers}, *answer.continue_from);
+    cr_assert_eq(target, "/rows-get?tableName=servers&part=&from=i-1%00");
+}
