Tell of the store's changes by a tree, boot from seeds, split large services

Change: each instance tells at most six; instances that start ask their seeds and read the store only when none answers; of a service of more than 20 an instance uses 20 while they have room.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -57,10 +57,11 @@
 };
 
 struct follower_options {
-    duration read_pause = std::chrono::milliseconds(700);
+    duration read_pause = std::chrono::milliseconds(550);
     duration change_wait = std::chrono::milliseconds(2000);
     std::size_t readers = 1;
-    duration silence = std::chrono::milliseconds(1100);
+    duration silence = std::chrono::milliseconds(1250);
+    std::size_t fan_out = 6; // instances that each one tells
     duration return_hold = std::chrono::milliseconds(2200);
     duration heartbeat_interval = std::chrono::milliseconds(500);
     membership_options members;
@@ -104,6 +105,10 @@
     // told it.
     duration age(time_point now) const;
 
+    // Position of this instance in the order in which the active ones are
+    // asked to read the store.
+    std::size_t reader_rank(time_point now) const;
+
     // True if this instance reads the store now.
     bool is_reading() const { return reading_; }
 
@@ -131,7 +136,12 @@
     table_state& state_of(store_table table);
     bool is_outage(const table_state& state, time_point now) const;
     bool should_read(time_point now) const;
-    std::size_t reader_rank(time_point now) const;
+    std::vector<std::string> told_by_us(const incarnation& origin,
+                                        time_point now) const;
+    void pass_on(const table_rows& rows, time_point now, actions& out) const;
+    void ask_seeds(time_point now, actions& out);
+    void ask_for_rows(const std::string& from, const table_rows& rows,
+                      time_point now, actions& out);
     void ask(store_table table, actions& out);
     std::vector<raw_row> keep_changed(std::vector<raw_row> rows) const;
     void add_missing(const store_page& page, std::vector<raw_row>& rows) const;
@@ -154,12 +164,14 @@
     std::map<std::string, held_removal> held_;
     directory::change changes_;
     std::optional<time_point> told_at_; // a peer's read, as it told
-    std::optional<time_point> differs_since_;
     time_point next_request_;
     time_point next_heartbeat_;
     std::uint64_t heartbeat_sequence_ = 0;
     std::uint64_t request_number_ = 0;
-    bool reading_ = true;
+    std::vector<std::string> seeds_;
+    time_point next_seed_request_;
+    time_point boot_read_at_; // reads the store itself from then on
+    bool reading_ = false;
     bool leaving_ = false;
 };
 
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include "table.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -58,6 +59,9 @@
     std::vector<raw_row> rows;
     bool more = false;        // newer rows are left
     std::uint64_t digest = 0; // of a directory's rows; 0 without directory
+    // Who read the platform and tells everybody; nothing in an answer to a
+    // request.
+    std::optional<incarnation> origin;
 };
 
 using peer_message = std::variant<heartbeat, table_request, table_rows>;
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,6 +26,12 @@
 
 enum class probe_id : std::uint64_t {};
 
+enum class probe_failure {
+    refused, // the server said that it takes no work
+    silent,  // no answer in time, or no connection
+    broken,  // the connection broke; another may work
+};
+
 // A caller's request as far as decisions need it.
 struct routed_request {
     call_id id{};
@@ -116,6 +123,9 @@
     double hedge_at = 0.6;         // part of the objective; 0: never
     std::string failure_domain;
     std::size_t max_requests = 2000;
+    // Backend servers of one service that an instance uses as long as they
+    // have room; a large service is split, so that connections are reused.
+    std::size_t subset = 20;
 };
 
 class request_router {
@@ -139,8 +149,7 @@
     actions on_probe_answered(probe_id id,
                               const std::optional<server_load_sample>& load,
                               time_point now);
-    // `refused`: the server said that it takes no work; else it was silent.
-    actions on_probe_failed(probe_id id, bool refused, time_point now);
+    actions on_probe_failed(probe_id id, probe_failure failure, time_point now);
 
     actions on_load(std::string_view server, const server_load_sample& load,
                     time_point now);
@@ -175,6 +184,7 @@
         std::map<std::string, double> work_ms;   // by route
         std::map<std::string, double> answer_kb; // by route
         crowding_estimate crowding;
+        std::set<std::string> subset; // empty: to be drawn
     };
 
     struct attempt_entry {
@@ -227,6 +237,7 @@
                            const known_server& server, time_point now);
     double work_of(const request_entry& request);
     std::vector<const known_server*> candidates(const request_entry& request);
+    const std::set<std::string>& subset_of(const std::string& service);
     void take_load(const std::string& server,
                    const std::optional<server_load_sample>& load,
                    time_point now);
@@ -270,6 +281,7 @@
     };
 
     const directory& directory_;
+    std::uint64_t own_hash_; // draws the subsets
     router_options options_;
     random_engine engine_;
     std::size_t instances_ = 1;
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -59,6 +59,9 @@
   5: bool more,
   // Of all rows that the sender holds; 0 if it keeps none.
   6: i64 digest,
+  // The incarnation that read the platform and tells everybody; empty in an
+  // answer to a request.
+  7: binary origin,
 }
 
 struct peer_message {
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -81,10 +81,10 @@
 
 struct store_section {
   1: string address = "" (kind = "endpoint", mandatory = "yes", help = "IP:port of the metadata store"),
-  2: i32 read_pause = 700 (unit = "ms", min = "20", max = "5000", help = "pause of a reader between two reads of the changes"),
+  2: i32 read_pause = 550 (unit = "ms", min = "20", max = "5000", help = "pause of a reader between two reads of the changes"),
   3: i32 request_timeout = 600 (unit = "ms", min = "50", max = "10000", help = "longest wait for one answer beyond what it was asked to wait"),
   4: i32 readers = 1 (unit = "count", min = "1", max = "1000", help = "instances that read the store while all is well; the others hear from them"),
-  5: i32 silence = 1100 (unit = "ms", min = "50", max = "10000", help = "time without word from a reader after which an instance reads the store itself"),
+  5: i32 silence = 1250 (unit = "ms", min = "50", max = "10000", help = "time without word from a reader after which an instance reads the store itself"),
   6: i32 return_hold = 2200 (unit = "ms", min = "0", max = "60000", help = "time after the store's return for which entries that lapsed meanwhile are kept"),
 }
 
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 26> catalogue{{
+constexpr std::array<event_description, 28> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance listens on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -33,6 +33,11 @@
      "Neither platform nor peers were heard: calls are refused as not run."},
     {event_number::table_confirmed, log_level::info, "table_confirmed",
      "The table was confirmed; calls are taken."},
+    {event_number::reading_began, log_level::info, "reading_began",
+     "The instance reads the metadata store itself, as its reader or because "
+     "it heard nothing from one."},
+    {event_number::reading_ended, log_level::info, "reading_ended",
+     "The instance hears of the metadata store from its peers again."},
     {event_number::peer_joined, log_level::info, "peer_joined",
      "A peer's heartbeat arrived for the first time."},
     {event_number::peer_suspected, log_level::warning, "peer_suspected",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -26,6 +26,8 @@
     platform_recovered = 1104,
     table_unconfirmed = 1105,
     table_confirmed = 1106,
+    reading_began = 1107,
+    reading_ended = 1108,
     peer_joined = 1201,
     peer_suspected = 1202,
     peer_gone = 1203,
--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t max_datagram = 1400;
 constexpr std::size_t receive_buffer = 65536;
 constexpr std::size_t max_frame = 16U << 20U;
-constexpr std::size_t max_streams = 64;
+constexpr std::size_t max_streams = 256;
 constexpr duration stream_lifetime = seconds(10);
 constexpr int datagrams_per_wakeup = 64;
 constexpr int max_port_tries = 20;
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -70,13 +70,18 @@
     return out;
 }
 
-member from_wire(const wire::member& value) {
-    member out;
-    if (value.incarnation.size() != out.id.bytes.size()) {
+incarnation read_incarnation(const std::string& bytes) {
+    incarnation id;
+    if (bytes.size() != id.bytes.size()) {
         throw wire_error("incarnation has a wrong size");
     }
-    std::copy(value.incarnation.begin(), value.incarnation.end(),
-              out.id.bytes.begin());
+    std::copy(bytes.begin(), bytes.end(), id.bytes.begin());
+    return id;
+}
+
+member from_wire(const wire::member& value) {
+    member out;
+    out.id = read_incarnation(value.incarnation);
     out.peer_address = make_address(value.ip, value.peer_port);
     out.caller_address = make_address(value.ip, value.caller_port);
     out.admin_address = make_address(value.ip, value.admin_port);
@@ -157,6 +162,10 @@
         rows.request_number = static_cast<std::int64_t>(value.request_number);
         rows.more = value.more;
         rows.digest = static_cast<std::int64_t>(value.digest);
+        if (value.origin) {
+            rows.origin.assign(value.origin->bytes.begin(),
+                               value.origin->bytes.end());
+        }
         for (const auto& item : value.rows) {
             rows.rows.push_back(to_wire(item));
         }
@@ -196,6 +205,9 @@
     rows.request_number = static_cast<std::uint64_t>(value.request_number);
     rows.more = value.more;
     rows.digest = static_cast<std::uint64_t>(value.digest);
+    if (!value.origin.empty()) {
+        rows.origin = read_incarnation(value.origin);
+    }
     for (const auto& item : value.rows) {
         rows.rows.push_back(from_wire(item));
     }
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -14,17 +14,20 @@
 // second or two, and three times unheard make one lapse.
 constexpr duration shortest_outage = milliseconds(1500);
 
-// Peers told of a read differ while a change is on its way; longer than this
-// a message was lost.
-constexpr duration difference_bearable = milliseconds(250);
-constexpr duration request_pause = milliseconds(500);
+constexpr duration request_pause = milliseconds(300);
+
+// A start without the store: seeds are asked this often, and the store is read
+// when none has answered for so long.
+constexpr duration seed_request_pause = milliseconds(40);
+constexpr duration seed_patience = milliseconds(350);
+constexpr duration seed_patience_spread = milliseconds(250);
 
 constexpr duration first_retry = milliseconds(100);
 constexpr duration longest_retry = milliseconds(800);
 
 // Instances that hear nothing start to read one after the other.
 constexpr duration fallback_step = milliseconds(40);
-constexpr duration longest_fallback = milliseconds(600);
+constexpr duration longest_fallback = milliseconds(400);
 
 // Time in which the heartbeats of all peers have come in after a start.
 constexpr duration acquaintance = milliseconds(2500);
@@ -58,7 +61,7 @@
 directory_follower::directory_follower(follower_options options, time_point now)
     : options_(std::move(options)), members_(options_.own, options_.members),
       engine_(options_.seed), started_at_(now), next_request_(now),
-      next_heartbeat_(now) {
+      next_heartbeat_(now), next_seed_request_(now), boot_read_at_(now) {
     for (auto& table : tables_) {
         table.next_read = now;
     }
@@ -67,6 +70,17 @@
 void directory_follower::set_seeds(
     std::span<const std::string> peer_addresses) {
     members_.set_seeds(peer_addresses);
+    seeds_.assign(peer_addresses.begin(), peer_addresses.end());
+    const bool is_seed = std::find(seeds_.begin(), seeds_.end(),
+                                   options_.own.peer_address) != seeds_.end();
+    if (is_seed || seeds_.empty()) {
+        return;
+    }
+    boost::random::uniform_real_distribution<double> part(0, 1);
+    boot_read_at_ =
+        started_at_ + seed_patience +
+        duration(static_cast<duration::rep>(
+            part(engine_) * static_cast<double>(seed_patience_spread.count())));
 }
 
 directory_follower::table_state&
@@ -116,11 +130,13 @@
 }
 
 bool directory_follower::should_read(time_point now) const {
-    if (directory_.routing() == nullptr || !own_read_at()) {
-        return true;
+    if (directory_.routing() == nullptr || !(told_at_ || own_read_at())) {
+        return now >= boot_read_at_;
     }
     const auto rank = reader_rank(now);
-    if (rank < options_.readers && !leaving_) {
+    const bool knows_peers =
+        boot_read_at_ == started_at_ || now - started_at_ > acquaintance;
+    if (rank < options_.readers && knows_peers && !leaving_) {
         return true;
     }
     const auto step = std::min<duration>(
@@ -149,6 +165,7 @@
 directory_follower::actions directory_follower::on_tick(time_point now) {
     actions out;
     release_held(now, out);
+    ask_seeds(now, out);
     reading_ = should_read(now);
     for (const auto table : {store_table::routing, store_table::servers}) {
         auto& state = state_of(table);
@@ -164,8 +181,27 @@
     return out;
 }
 
+// An instance that has just started hears the directory from its seeds.
+void directory_follower::ask_seeds(time_point now, actions& out) {
+    const bool needed = directory_.routing() == nullptr;
+    if (!needed || now < next_seed_request_) {
+        return;
+    }
+    next_seed_request_ = now + seed_request_pause;
+    for (const auto& seed : seeds_) {
+        if (seed != options_.own.peer_address) {
+            out.emplace_back(
+                send_to_peer{seed, table_request{0, ++request_number_}});
+        }
+    }
+}
+
 time_point directory_follower::next_due() const {
     auto due = next_heartbeat_;
+    if (directory_.routing() == nullptr) {
+        due = std::min(due, next_seed_request_);
+        due = reading_ ? due : std::min(due, boot_read_at_);
+    }
     for (const auto& table : tables_) {
         if (reading_ && !table.asked) {
             due = std::min(due, table.next_read);
@@ -318,9 +354,56 @@
     message.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
     message.rows = std::move(rows);
     message.digest = directory_.digest();
+    message.origin = options_.own.id;
+    pass_on(message, now, out);
+}
+
+void directory_follower::pass_on(const table_rows& rows, time_point now,
+                                 actions& out) const {
+    for (auto& address : told_by_us(*rows.origin, now)) {
+        out.emplace_back(send_to_peer{std::move(address), rows});
+    }
+}
+
+// The instances form a tree, in the order of their incarnations and with the
+// origin at its root, so that each tells a few whatever their number. Views
+// that differ leave gaps; who hears nothing reads the store itself.
+std::vector<std::string>
+directory_follower::told_by_us(const incarnation& origin,
+                               time_point now) const {
+    std::map<std::uint64_t, std::string> ordered;
+    const auto place = [](const incarnation& id) {
+        return hash(to_string(id));
+    };
     for (const auto& peer : members_.members(now)) {
-        out.emplace_back(send_to_peer{peer.peer_address, message});
+        if (peer.state != member_state::suspected) {
+            ordered[place(peer.id)] = peer.peer_address;
+        }
+    }
+    ordered[place(options_.own.id)] = options_.own.peer_address;
+    ordered.try_emplace(place(origin));
+    const auto index = [&](const incarnation& id) {
+        return static_cast<std::size_t>(
+            std::distance(ordered.begin(), ordered.find(place(id))));
+    };
+    std::vector<const std::string*> addresses;
+    for (const auto& [number, address] : ordered) {
+        addresses.push_back(&address);
+    }
+    const auto count = addresses.size();
+    const auto root = index(origin);
+    const auto own = (index(options_.own.id) + count - root) % count;
+    std::vector<std::string> children;
+    for (std::size_t i = 1; i <= options_.fan_out; ++i) {
+        const auto child = own * options_.fan_out + i;
+        if (child < count) {
+            const auto& address = *addresses[(root + child) % count];
+            if (!address.empty()) {
+                children.push_back(address);
+            }
+        }
     }
+    return children;
 }
 
 directory_follower::actions
@@ -342,6 +425,9 @@
         answer.rows = directory_.rows_after(
             std::get<table_request>(message).have_version);
         answer.digest = directory_.digest();
+        if (directory_.routing() == nullptr) {
+            return out; // knows nothing yet
+        }
         out.emplace_back(send_to_peer{from, std::move(answer)});
     }
     return out;
@@ -356,6 +442,9 @@
                                     " rows was dropped");
         return;
     }
+    if (rows.origin && *rows.origin != options_.own.id) {
+        pass_on(rows, now, out);
+    }
     apply(rows.rows, now);
     for (const auto& row : rows.rows) {
         held_.erase(row.key);
@@ -364,20 +453,25 @@
         return; // the sender is behind
     }
     if (rows.digest == directory_.digest()) {
-        differs_since_.reset();
         told_at_ = std::max(told_at_.value_or(time_point{}), now - rows.age);
-        return;
-    }
-    if (!differs_since_) {
-        differs_since_ = now;
-    }
-    if (now - *differs_since_ > difference_bearable && now >= next_request_) {
-        next_request_ = now + request_pause;
-        out.emplace_back(
-            send_to_peer{from, table_request{0, ++request_number_}});
+    } else if (rows.origin && now >= next_request_) {
+        ask_for_rows(from, rows, now, out);
     }
 }
 
+// A message was lost on the way: asks the instance that told us, and the
+// origin every other time, as the one between may lack the same.
+void directory_follower::ask_for_rows(const std::string& from,
+                                      const table_rows& rows, time_point now,
+                                      actions& out) {
+    next_request_ = now + request_pause;
+    ++request_number_;
+    const auto origin = members_.find(*rows.origin, now);
+    const bool ask_origin = origin && request_number_ % 2 == 0;
+    out.emplace_back(send_to_peer{ask_origin ? origin->peer_address : from,
+                                  table_request{0, request_number_}});
+}
+
 void directory_follower::send_heartbeats(time_point now, actions& out) {
     heartbeat beat;
     beat.sender = members_.own();
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -49,6 +49,9 @@
 // work is not sent where it would miss it.
 constexpr double patience = 1.1;
 
+// One in so many servers of a subset is of another failure domain.
+constexpr std::size_t far_part = 5;
+
 constexpr unsigned least_connections = 2;
 
 double initial_work_ms(duration objective) {
@@ -71,6 +74,9 @@
 
 void request_router::on_servers_changed(std::span<const std::string> ids,
                                         time_point now) {
+    for (auto& [name, service] : services_) {
+        service.subset.clear(); // drawn anew
+    }
     for (const auto& id : ids) {
         const auto found = servers_.find(id);
         if (directory_.find(id) != nullptr) {
@@ -139,6 +145,38 @@
     return view;
 }
 
+// This instance's part of a service's servers: mostly of its own failure
+// domain, and such that all instances together use all servers alike.
+const std::set<std::string>&
+request_router::subset_of(const std::string& service) {
+    auto& subset = entry_of_service(service).subset;
+    if (!subset.empty()) {
+        return subset;
+    }
+    std::vector<std::pair<std::uint64_t, const known_server*>> near;
+    std::vector<std::pair<std::uint64_t, const known_server*>> far;
+    for (const auto* server : directory_.available(service)) {
+        const bool same =
+            server->info.failure_domain == options_.failure_domain;
+        const auto rank = hash(server->info.id + std::to_string(own_hash_));
+        (same ? near : far).emplace_back(rank, server);
+    }
+    std::sort(near.begin(), near.end());
+    std::sort(far.begin(), far.end());
+    const auto from_far = std::min(
+        far.size(),
+        std::max(options_.subset / far_part,
+                 options_.subset - std::min(options_.subset, near.size())));
+    const auto from_near = std::min(near.size(), options_.subset - from_far);
+    for (std::size_t i = 0; i < from_near; ++i) {
+        subset.insert(near[i].second->info.id);
+    }
+    for (std::size_t i = 0; i < from_far; ++i) {
+        subset.insert(far[i].second->info.id);
+    }
+    return subset;
+}
+
 std::vector<const known_server*>
 request_router::candidates(const request_entry& request) {
     auto found = directory_.available(request.service);
@@ -146,6 +184,17 @@
         return std::find(request.tried.begin(), request.tried.end(),
                          server->info.id) != request.tried.end();
     });
+    // A request that found its subset full looks further.
+    if (found.size() > options_.subset && !request.waiting) {
+        const auto& subset = subset_of(request.service);
+        const auto begin = std::partition(
+            found.begin(), found.end(), [&](const known_server* server) {
+                return subset.contains(server->info.id);
+            });
+        if (begin != found.begin()) {
+            found.erase(begin, found.end());
+        }
+    }
     return found;
 }
 
@@ -290,8 +339,9 @@
     return out;
 }
 
-request_router::actions
-request_router::on_probe_failed(probe_id id, bool refused, time_point now) {
+request_router::actions request_router::on_probe_failed(probe_id id,
+                                                        probe_failure failure,
+                                                        time_point now) {
     actions out;
     const auto found = probes_.find(id);
     if (found == probes_.end()) {
@@ -300,8 +350,10 @@
     const auto server = found->second.server;
     auto& entry = entry_of(server);
     entry.load.reset();
-    entry.silent_until = now + silence_pause;
-    if (refused) {
+    if (failure != probe_failure::broken) {
+        entry.silent_until = now + silence_pause;
+    }
+    if (failure == probe_failure::refused) {
         constexpr double refusal_weight = 0.5;
         note_outcome(server, false, refusal_weight, now);
     }
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -39,7 +39,8 @@
 
 request_router::request_router(const directory& known, router_options options,
                                std::uint64_t seed)
-    : directory_(known), options_(std::move(options)), engine_(seed) {}
+    : directory_(known), own_hash_(seed), options_(std::move(options)),
+      engine_(seed) {}
 
 const std::string& request_router::pick_service(const route& chosen,
                                                 random_engine& engine) {
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -68,9 +68,23 @@
         std::visit([this](const auto& order) { run(order); }, item);
     }
     publish();
+    log_reading();
     schedule();
 }
 
+void directory_sync::log_reading() {
+    if (follower_.is_reading() == reading_) {
+        return;
+    }
+    reading_ = follower_.is_reading();
+    const auto now = loop_.now();
+    log_event(
+        reading_ ? event_number::reading_began : event_number::reading_ended,
+        {{"rank", std::to_string(follower_.reader_rank(now))},
+         {"peers", std::to_string(follower_.members().members(now).size())},
+         {"age_ms", std::to_string(to_ms(follower_.age(now)))}});
+}
+
 void directory_sync::schedule() {
     event_loop::schedule(timer_, follower_.next_due() - loop_.now());
 }
--- a/src/router/directory_sync.hpp
+++ b/src/router/directory_sync.hpp
@@ -56,6 +56,7 @@
                    store_failure failure);
     void finish_page(store_table table, store_answer answer);
     void publish();
+    void log_reading();
     void schedule();
     read_state& state_of(store_table table);
 
@@ -68,6 +69,7 @@
     connection_pool pool_;
     std::array<read_state, store_table_count> reads_;
     scoped_event timer_;
+    bool reading_ = false;
 };
 
 } // namespace lacewingbeam
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -21,7 +21,7 @@
 // A request that must not be sent twice goes only over connections that have
 // answered lately: servers close idle ones without notice.
 constexpr duration proven_alive = std::chrono::milliseconds(1000);
-constexpr duration proven_alive_repeatable = std::chrono::seconds(4);
+constexpr duration proven_alive_repeatable = std::chrono::seconds(7);
 
 attempt_end result_of(const exchange_failure& failure) {
     if (!failure.bytes_sent) {
@@ -275,7 +275,11 @@
     events.end = [this, id] {
         end_probe(id);
     };
-    events.failed = [this, id](const exchange_failure&) {
+    events.failed = [this, id](const exchange_failure& failure) {
+        const auto found = probes_.find(id);
+        if (found != probes_.end() && failure.bytes_sent) {
+            found->second.failure = probe_failure::broken;
+        }
         end_probe(id);
     };
     probe.timeout = loop_.make_timer([this, id] {
@@ -306,7 +310,7 @@
         return;
     }
     if (head.status != status_ok) {
-        probe.refused = true;
+        probe.failure = probe_failure::refused;
         return;
     }
     probe.alive = true;
@@ -322,7 +326,7 @@
         return;
     }
     const auto load = found->second.load;
-    const bool refused = found->second.refused;
+    const auto failure = found->second.failure;
     const bool alive = found->second.alive;
     // The timer's own callback may be running.
     loop_.defer(
@@ -331,7 +335,7 @@
     if (alive) {
         carry_out(router_.on_probe_answered(id, load, loop_.now()));
     } else {
-        carry_out(router_.on_probe_failed(id, refused, loop_.now()));
+        carry_out(router_.on_probe_failed(id, failure, loop_.now()));
     }
 }
 
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -60,7 +60,7 @@
         exchange_id exchange{};
         std::optional<server_load_sample> load;
         bool alive = false;
-        bool refused = false;
+        probe_failure failure = probe_failure::silent;
         scoped_event timeout;
     };
 
