--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -61,6 +61,7 @@
     duration change_wait = std::chrono::milliseconds(2000);
     std::size_t readers = 1;
     duration silence = std::chrono::milliseconds(1250);
+    duration seed_patience = std::chrono::milliseconds(30);
     std::size_t fan_out = 6; // instances that each one tells
     duration return_hold = std::chrono::milliseconds(2200);
     duration heartbeat_interval = std::chrono::milliseconds(500);
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -85,6 +85,7 @@
   3: i32 request_timeout = 600 (unit = "ms", min = "50", max = "10000", help = "longest wait for one answer beyond what it was asked to wait"),
   4: i32 readers = 1 (unit = "count", min = "1", max = "1000", help = "instances that read the store while all is well; the others hear from them"),
   5: i32 silence = 1250 (unit = "ms", min = "50", max = "10000", help = "time without word from a reader after which an instance reads the store itself"),
+  7: i32 seed_patience = 30 (unit = "ms", min = "0", max = "60000", help = "time for which an instance that starts waits for its seeds before it reads the store itself"),
   6: i32 return_hold = 2200 (unit = "ms", min = "0", max = "60000", help = "time after the store's return for which entries that lapsed meanwhile are kept"),
 }
 
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -16,11 +16,12 @@
 
 constexpr duration request_pause = milliseconds(300);
 
-// A start without the store: seeds are asked this often, and the store is read
-// when none has answered for so long.
+// Seeds are asked this often by an instance that starts.
 constexpr duration seed_request_pause = milliseconds(40);
-constexpr duration seed_patience = milliseconds(350);
-constexpr duration seed_patience_spread = milliseconds(250);
+
+// Instances that heard nothing from their seeds read the store spread over
+// this part of their patience more.
+constexpr double patience_spread = 0.5;
 
 constexpr duration first_retry = milliseconds(100);
 constexpr duration longest_retry = milliseconds(800);
@@ -76,11 +77,12 @@
     if (is_seed || seeds_.empty()) {
         return;
     }
-    boost::random::uniform_real_distribution<double> part(0, 1);
+    boost::random::uniform_real_distribution<double> spread(
+        1, 1 + patience_spread);
     boot_read_at_ =
-        started_at_ + seed_patience +
-        duration(static_cast<duration::rep>(
-            part(engine_) * static_cast<double>(seed_patience_spread.count())));
+        started_at_ + duration(static_cast<duration::rep>(
+                          spread(engine_) *
+                          static_cast<double>(options_.seed_patience.count())));
 }
 
 directory_follower::table_state&
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -85,6 +85,7 @@
     options.read_pause = milliseconds(values.store.read_pause);
     options.readers = static_cast<std::size_t>(values.store.readers);
     options.silence = milliseconds(values.store.silence);
+    options.seed_patience = milliseconds(values.store.seed_patience);
     options.return_hold = milliseconds(values.store.return_hold);
     options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
     options.members.heartbeat_interval = options.heartbeat_interval;
