--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -62,7 +62,7 @@
     std::size_t readers = 1;
     duration silence = std::chrono::milliseconds(1250);
     duration seed_patience = std::chrono::milliseconds(30);
-    std::size_t fan_out = 6; // instances that each one tells
+    std::size_t fan_out = 6; // instances that each one tells on
     duration return_hold = std::chrono::milliseconds(2200);
     duration heartbeat_interval = std::chrono::milliseconds(500);
     membership_options members;
@@ -137,9 +137,12 @@
     table_state& state_of(store_table table);
     bool is_outage(const table_state& state, time_point now) const;
     bool should_read(time_point now) const;
-    std::vector<std::string> told_by_us(const incarnation& origin,
-                                        time_point now) const;
-    void pass_on(const table_rows& rows, time_point now, actions& out) const;
+    std::vector<std::string> draw_peers(const incarnation& origin,
+                                        time_point now);
+    void pass_on(table_rows rows, time_point now, actions& out);
+    bool is_news(const table_rows& rows);
+    void settle(const table_rows& rows, time_point now, actions& out);
+    std::uint64_t own_revision() const;
     void ask_seeds(time_point now, actions& out);
     void ask_for_rows(const std::string& from, const table_rows& rows,
                       time_point now, actions& out);
@@ -169,6 +172,10 @@
     time_point next_heartbeat_;
     std::uint64_t heartbeat_sequence_ = 0;
     std::uint64_t request_number_ = 0;
+    std::map<incarnation, std::uint64_t> heard_; // last message by origin
+    std::optional<table_rows> unsettled_;        // its rows are still missing
+    std::uint64_t told_ = 0;                     // messages of our own reads
+    std::uint64_t complete_ = 0; // every change up to this revision is held
     std::vector<std::string> seeds_;
     time_point next_seed_request_;
     time_point boot_read_at_; // reads the store itself from then on
