--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <iostream>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -74,6 +77,7 @@
 }};
 
 log_level least_level = log_level::info;
+std::uint64_t lines_lost = 0; // since the last that was written
 
 log_level parse_level(std::string_view name) {
     if (name == "debug") {
@@ -114,6 +118,14 @@
     configuration.set(level, el::ConfigurationType::Enabled, "false");
 }
 
+// A reader that does not keep up loses lines; it never holds the process up.
+void keep_writing() {
+    if (!std::cout) {
+        std::cout.clear();
+        ++lines_lost;
+    }
+}
+
 } // namespace
 
 std::span<const event_description> event_catalogue() {
@@ -122,6 +134,10 @@
 
 void configure_log(std::string_view level) {
     least_level = parse_level(level);
+    if (isatty(STDOUT_FILENO) == 0) {
+        fcntl(STDOUT_FILENO, F_SETFL,
+              fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    }
     el::Configurations configuration;
     configuration.setToDefault();
     using type = el::ConfigurationType;
@@ -155,6 +171,10 @@
         line += '=';
         append_value(line, field.value);
     }
+    if (lines_lost > 0) {
+        line += " lines_lost=" + std::to_string(lines_lost);
+        lines_lost = 0;
+    }
     switch (event.level) {
     case log_level::debug:
         LOG(DEBUG) << line;
@@ -169,6 +189,7 @@
         LOG(ERROR) << line;
         break;
     }
+    keep_writing();
 }
 
 } // namespace lacewingbeam
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-// Numbered log events, written through easylogging++ to standard error. The
+// Numbered log events, written through easylogging++ to standard output. The
 // catalogue is docs/EVENTS.md.
 namespace lacewingbeam {
 
--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -154,7 +154,8 @@
 }
 
 std::string fleet::log_of(std::size_t i) const {
-    return read_file(files_.file("instance" + std::to_string(i) + ".log"));
+    return instances_.at(i)->child->output_so_far() +
+           read_file(files_.file("instance" + std::to_string(i) + ".log"));
 }
 
 void fleet::control(const std::string& address, const json& settings) const {
--- a/test/integration/process.cpp
+++ b/test/integration/process.cpp
@@ -91,6 +91,19 @@
     }
 }
 
+std::string process::output_so_far() {
+    pollfd ready{output_, POLLIN, 0};
+    while (poll(&ready, 1, 0) > 0) {
+        char piece[4096];
+        const auto size = read(output_, piece, sizeof piece);
+        if (size <= 0) {
+            break;
+        }
+        buffer_.append(piece, static_cast<std::size_t>(size));
+    }
+    return buffer_;
+}
+
 void process::signal(int number) const {
     kill(pid_, number);
 }
--- a/test/integration/process.hpp
+++ b/test/integration/process.hpp
@@ -21,6 +21,9 @@
     // silent for long.
     std::string read_line();
 
+    // What it has written to standard output and read_line has not returned.
+    std::string output_so_far();
+
     void signal(int number) const;
 
     // True if it ended by itself within the time; then exit_code holds.
