--- a/include/lacewingbeam/verdict.hpp
+++ b/include/lacewingbeam/verdict.hpp
@@ -40,6 +40,7 @@
     store_unavailable,
     owner_not_consulted,
     operations_full,
+    server_failed,
 };
 
 // The whole answer of a backend server was received.
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -140,15 +140,16 @@
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         note_outcome(attempt.server, !answered->server_error, 1, now);
         const bool again =
-            answered->server_error && request.repeats == repetition::repeatable;
-        if (again && !request.running.empty()) {
-            request.lost = may_have_run_reason::connection_lost;
+            answered->server_error &&
+            request.repeats == repetition::repeatable &&
+            (!request.running.empty() || may_repeat(request, now));
+        if (again) {
+            request.lost = may_have_run_reason::server_failed;
+            if (request.running.empty()) {
+                begin_round(request, now, out);
+            }
             return out; // the other attempt may still succeed
         }
-        if (again && may_repeat(request, now)) {
-            begin_round(request, now, out);
-            return out;
-        }
         if (!answered->server_error) {
             learn(request, attempt, answered->answer_kb, now);
         }
--- a/src/decisions/verdict.cpp
+++ b/src/decisions/verdict.cpp
@@ -84,6 +84,8 @@
         return "owner_not_consulted";
     case may_have_run_reason::operations_full:
         return "operations_full";
+    case may_have_run_reason::server_failed:
+        return "server_failed";
     }
     return "unknown";
 }
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -161,6 +161,22 @@
         1);
 }
 
+// Found in logs: a read that a server had failed was answered "not run" when
+// its repeat found no room.
+Test(router, repeat_that_finds_no_room_is_not_called_not_run) {
+    router_world world(repeatable_world());
+    const auto sent = router_world::pick<send_order>(
+        world.answer_probes(world.submit(1), idle));
+    auto actions = world.router.on_attempt_ended(
+        sent[0].attempt, attempt_answered{true, 0}, world.now);
+    while (router_world::pick<finish_order>(actions).empty()) {
+        world.answer_probes(actions, full);
+        world.now += milliseconds(20);
+        actions = world.router.on_tick(world.now);
+    }
+    cr_assert(std::holds_alternative<may_have_run>(outcome_of(actions)));
+}
+
 Test(router, attempts_never_exceed_the_route) {
     router_world world(repeatable_world());
     auto actions = world.answer_probes(world.submit(1), idle);
