--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -118,6 +118,9 @@
     // that has just started does not take the whole of a shared budget.
     static constexpr std::size_t assumed_at_start = 16;
 
+    // Time in which the heartbeats of most peers have come in after a start.
+    static constexpr duration acquaintance = std::chrono::milliseconds(2500);
+
 private:
     struct table_state {
         std::optional<std::uint64_t> position;
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -251,9 +251,12 @@
     void probe_settled(probe_id id, time_point now, actions& out);
     bool good_enough(const request_entry& request, const std::string& server,
                      time_point now);
+    const scored_server&
+    choose_untold(const std::vector<scored_server>& scored);
     void decide(request_entry& request, time_point now, actions& out);
     std::vector<scored_server> score(const request_entry& request,
                                      time_point now);
+    unsigned connection_share(const request_entry& request) const;
     void place(request_entry& request, const scored_server& chosen,
                std::size_t count, time_point now, actions& out);
     void send_again_or_finish(request_entry& request, time_point now,
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -1,7 +1,6 @@
 #include "lacewingbeam/directory_follower.hpp"
 
 #include <algorithm>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <utility>
 
@@ -15,8 +14,6 @@
 // second or two, and three times unheard make one lapse.
 constexpr duration shortest_outage = milliseconds(1500);
 
-constexpr duration request_pause = milliseconds(300);
-
 // Seeds are asked this often by an instance that starts.
 constexpr duration seed_request_pause = milliseconds(40);
 
@@ -31,21 +28,7 @@
 constexpr duration fallback_step = milliseconds(40);
 constexpr duration longest_fallback = milliseconds(400);
 
-// Time in which the heartbeats of all peers have come in after a start.
-constexpr duration acquaintance = milliseconds(2500);
-
-// Up to so many peers are told by the reader itself.
-constexpr std::size_t told_directly = 24;
-
-// What fits a datagram is told on with the message.
-constexpr std::size_t most_relayed_bytes = 900;
-
-// Readers remembered; all are instances that live.
-constexpr std::size_t most_origins = 4096;
-
 constexpr std::size_t digest_members = 6;
-constexpr std::size_t most_page_rows = 4000;
-
 bool same_content(const raw_row& a, const raw_row& b) {
     return a.deleted == b.deleted && a.cells == b.cells;
 }
@@ -360,170 +343,6 @@
     return {};
 }
 
-void directory_follower::tell_peers(std::vector<raw_row> rows, time_point now,
-                                    actions& out) {
-    table_rows message;
-    message.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
-    message.rows = std::move(rows);
-    message.digest = directory_.digest();
-    message.origin = options_.own.id;
-    message.request_number = ++told_;
-    message.table_version = complete_ = own_revision();
-    pass_on(std::move(message), now, out);
-}
-
-// Every change up to it was read.
-std::uint64_t directory_follower::own_revision() const {
-    std::uint64_t revision = complete_;
-    if (tables_[0].position && tables_[1].position) {
-        revision = std::max(
-            revision, std::min(*tables_[0].position, *tables_[1].position));
-    }
-    return revision;
-}
-
-// Tells on to a few others, or to all while they are few.
-void directory_follower::pass_on(table_rows rows, time_point now,
-                                 actions& out) {
-    const auto targets = draw_peers(*rows.origin, now);
-    const bool relayed = *rows.origin != options_.own.id;
-    std::size_t size = 0;
-    for (const auto& row : rows.rows) {
-        for (const auto& item : row.cells) {
-            size += item.name.size() + item.value.size();
-        }
-    }
-    if (relayed && size > most_relayed_bytes) {
-        rows.rows.clear(); // who lacks them asks for them
-    }
-    for (const auto& address : targets) {
-        out.emplace_back(send_to_peer{address, rows});
-    }
-}
-
-// Random peers: with fan_out of them for each instance, all but one in some
-// hundred hear of a read, and that one of the next.
-std::vector<std::string>
-directory_follower::draw_peers(const incarnation& origin, time_point now) {
-    std::vector<std::string> addresses;
-    for (const auto& peer : members_.members(now)) {
-        if (peer.state != member_state::suspected && peer.id != origin) {
-            addresses.push_back(peer.peer_address);
-        }
-    }
-    const bool own = origin == options_.own.id;
-    if (addresses.size() <= told_directly) {
-        return own ? addresses : std::vector<std::string>{};
-    }
-    const auto count = std::min(addresses.size(),
-                                own ? 2 * options_.fan_out : options_.fan_out);
-    for (std::size_t i = 0; i < count; ++i) {
-        boost::random::uniform_int_distribution<std::size_t> draw(
-            i, addresses.size() - 1);
-        std::swap(addresses[i], addresses[draw(engine_)]);
-    }
-    addresses.resize(count);
-    return addresses;
-}
-
-directory_follower::actions
-directory_follower::on_message(const std::string& from,
-                               const peer_message& message, time_point now) {
-    actions out;
-    if (const auto* beat = std::get_if<heartbeat>(&message)) {
-        const bool known = members_.find(beat->sender.id, now).has_value();
-        members_.on_heartbeat(beat->sender, beat->sequence, now);
-        members_.on_hearsay(beat->members, now);
-        if (!known && now - started_at_ < acquaintance) {
-            next_heartbeat_ = now; // answer those who know nobody yet
-        }
-    } else if (const auto* rows = std::get_if<table_rows>(&message)) {
-        on_rows(from, *rows, now, out);
-    } else {
-        table_rows answer;
-        answer.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
-        answer.rows = directory_.rows_after(
-            std::get<table_request>(message).have_version);
-        answer.digest = directory_.digest();
-        answer.table_version = complete_;
-        if (directory_.routing() == nullptr) {
-            return out; // knows nothing yet
-        }
-        out.emplace_back(send_to_peer{from, std::move(answer)});
-    }
-    return out;
-}
-
-void directory_follower::on_rows(const std::string& from,
-                                 const table_rows& rows, time_point now,
-                                 actions& out) {
-    if (rows.rows.size() > most_page_rows) {
-        changes_.rejected.push_back("table message from " + from + " with " +
-                                    std::to_string(rows.rows.size()) +
-                                    " rows was dropped");
-        return;
-    }
-    const bool news = is_news(rows);
-    apply(rows.rows, now);
-    for (const auto& row : rows.rows) {
-        held_.erase(row.key);
-    }
-    if (rows.age > options_.silence) {
-        return; // the sender is behind
-    }
-    if (rows.digest == directory_.digest()) {
-        settle(rows, now, out);
-        if (news) {
-            pass_on(rows, now, out);
-        }
-    } else if (news) {
-        unsettled_ = rows;
-        if (now >= next_request_) {
-            ask_for_rows(from, rows, now, out);
-        }
-    }
-}
-
-// True for the first copy of what an origin tells.
-bool directory_follower::is_news(const table_rows& rows) {
-    if (!rows.origin || *rows.origin == options_.own.id) {
-        return false;
-    }
-    auto& last = heard_[*rows.origin];
-    const bool news = rows.request_number > last;
-    last = std::max(last, rows.request_number);
-    if (heard_.size() > most_origins) {
-        heard_.clear();
-    }
-    return news;
-}
-
-// What is held is what the sender holds.
-void directory_follower::settle(const table_rows& rows, time_point now,
-                                actions& out) {
-    told_at_ = std::max(told_at_.value_or(time_point{}), now - rows.age);
-    complete_ = std::max(complete_, rows.table_version);
-    if (unsettled_ && unsettled_->digest == directory_.digest()) {
-        pass_on(*unsettled_, now, out);
-    }
-    unsettled_.reset();
-}
-
-// A message was lost on the way: asks the instance that told us, and the
-// origin every other time, as the one between may lack the same.
-void directory_follower::ask_for_rows(const std::string& from,
-                                      const table_rows& rows, time_point now,
-                                      actions& out) {
-    next_request_ = now + request_pause;
-    ++request_number_;
-    const auto origin = members_.find(*rows.origin, now);
-    const bool ask_origin = origin && request_number_ % 2 == 0;
-    // A change that was held back has a lower revision than what came since.
-    const auto have = request_number_ % 3 == 0 ? 0 : complete_;
-    out.emplace_back(send_to_peer{ask_origin ? origin->peer_address : from,
-                                  table_request{have, request_number_}});
-}
-
 void directory_follower::send_heartbeats(time_point now, actions& out) {
     heartbeat beat;
     beat.sender = members_.own();
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -21,30 +21,12 @@
 constexpr double distrust_half_life_s = 2;
 constexpr double distrust_gain = 0.5;
 constexpr double trust_gain = 0.4;
-constexpr double hopeless_distrust = 0.7;
-
-// A server that does not answer a probe is asked again after this time.
-constexpr duration silence_pause = milliseconds(600);
-
-constexpr double probe_burst = 12;
-
-// An instance begins with what it gathers in this time: starting takes about
-// as long, and so the budget holds even for one that always starts again.
-constexpr duration first_probes = milliseconds(700);
-
-// The part of the probe budget that is used; the rest covers instances that
-// have started meanwhile.
-constexpr double probe_part = 0.9;
-
 // Time between two looks for a free slot.
 constexpr duration look_interval = milliseconds(20);
 
 // Equally good servers are taken in turn, not always the first.
 constexpr double score_spread = 0.03;
 
-// A time this near to the best possible is not worth waiting for more probes.
-constexpr double good_enough_factor = 1.1;
-
 // A request that can still meet its objective by this many times its usual
 // work is not sent where it would miss it.
 constexpr double patience = 1.1;
@@ -87,19 +69,6 @@
     }
 }
 
-// The server's part of the probe budget that is this instance's.
-token_bucket& request_router::probes_of(server_entry& entry, time_point now) {
-    const double rate =
-        probe_part * options_.probes_per_second /
-        static_cast<double>(std::max<std::size_t>(1, instances_));
-    if (!entry.probes) {
-        entry.probes = std::make_unique<token_bucket>(rate, probe_burst, now);
-        entry.probes->add(rate * to_ms(first_probes) / 1000);
-    }
-    entry.probes->set_rate(rate, now);
-    return *entry.probes;
-}
-
 double request_router::distrust_of(const server_entry& entry,
                                    time_point now) const {
     const std::chrono::duration<double> passed = now - entry.distrust_at;
@@ -220,47 +189,6 @@
     std::visit(visitor{*this, request, now, out}, options_.policy);
 }
 
-void request_router::send_probes(request_entry& request, unsigned count,
-                                 duration timeout, time_point now,
-                                 actions& out) {
-    auto servers = candidates(request);
-    std::erase_if(servers, [&](const known_server* server) {
-        return now < entry_of(server->info.id).silent_until;
-    });
-    request.pending.clear();
-    unsigned sent = 0;
-    while (sent < count && !servers.empty()) {
-        boost::random::uniform_int_distribution<std::size_t> draw(
-            0, servers.size() - 1);
-        const auto at =
-            servers.begin() + static_cast<std::ptrdiff_t>(draw(engine_));
-        const auto& server = **at;
-        servers.erase(at);
-        auto& entry = entry_of(server.info.id);
-        if (distrust_of(entry, now) > hopeless_distrust && !servers.empty()) {
-            continue;
-        }
-        if (!probes_of(entry, now).try_take(now)) {
-            continue;
-        }
-        const auto id = probe_id{next_probe_++};
-        probes_[id] = {request.id, server.info.id};
-        request.pending.push_back(id);
-        const auto share =
-            request.max_connections / std::max<std::size_t>(1, instances_);
-        out.emplace_back(probe_order{
-            id, server.info.id, server.info.address, request.health_path,
-            std::max(least_connections, static_cast<unsigned>(share)),
-            timeout});
-        ++sent;
-    }
-    if (sent == 0) {
-        decide(request, now, out);
-        return;
-    }
-    request.decide_at = now + timeout;
-}
-
 void request_router::take_load(const std::string& server,
                                const std::optional<server_load_sample>& load,
                                time_point now) {
@@ -323,71 +251,6 @@
     return rank(a) < rank(b);
 }
 
-request_router::actions
-request_router::on_probe_answered(probe_id id,
-                                  const std::optional<server_load_sample>& load,
-                                  time_point now) {
-    actions out;
-    const auto found = probes_.find(id);
-    if (found == probes_.end()) {
-        return out;
-    }
-    const auto server = found->second.server;
-    take_load(server, load, now);
-    entry_of(server).silent_until = time_point{};
-    probe_settled(id, now, out);
-    return out;
-}
-
-request_router::actions request_router::on_probe_failed(probe_id id,
-                                                        probe_failure failure,
-                                                        time_point now) {
-    actions out;
-    const auto found = probes_.find(id);
-    if (found == probes_.end()) {
-        return out;
-    }
-    const auto server = found->second.server;
-    auto& entry = entry_of(server);
-    entry.load.reset();
-    if (failure != probe_failure::broken) {
-        entry.silent_until = now + silence_pause;
-    }
-    if (failure == probe_failure::refused) {
-        constexpr double refusal_weight = 0.5;
-        note_outcome(server, false, refusal_weight, now);
-    }
-    probe_settled(id, now, out);
-    return out;
-}
-
-void request_router::probe_settled(probe_id id, time_point now, actions& out) {
-    const auto probe = probes_.at(id);
-    probes_.erase(id);
-    const auto found = requests_.find(probe.call);
-    if (found == requests_.end()) {
-        return;
-    }
-    auto& request = found->second;
-    if (std::erase(request.pending, id) == 0 || !request.decide_at) {
-        return;
-    }
-    if (request.pending.empty() || good_enough(request, probe.server, now)) {
-        decide(request, now, out);
-    }
-}
-
-bool request_router::good_enough(const request_entry& request,
-                                 const std::string& server, time_point now) {
-    const auto* known = directory_.find(server);
-    const auto& entry = entry_of(server);
-    if (known == nullptr || known->info.leaving || now != entry.load_at) {
-        return false;
-    }
-    const auto view = view_of(request, *known, now);
-    return expected_time_ms(view) <= good_enough_factor * view.work_ms;
-}
-
 std::vector<request_router::scored_server>
 request_router::score(const request_entry& request, time_point now) {
     boost::random::uniform_real_distribution<double> spread(1,
@@ -406,6 +269,21 @@
     return scored;
 }
 
+// The baselines, which ask no server.
+const request_router::scored_server&
+request_router::choose_untold(const std::vector<scored_server>& scored) {
+    boost::random::uniform_int_distribution<std::size_t> draw(0, scored.size() -
+                                                                     1);
+    const auto& first = scored[draw(engine_)];
+    if (std::holds_alternative<place_at_random>(options_.policy)) {
+        return first;
+    }
+    const auto& second = scored[draw(engine_)];
+    return entry_of(first.id).in_flight <= entry_of(second.id).in_flight
+               ? first
+               : second;
+}
+
 void request_router::decide(request_entry& request, time_point now,
                             actions& out) {
     request.decide_at.reset();
@@ -421,21 +299,8 @@
         return;
     }
     const auto count = scored.size();
-    const auto pick_random = [&]() -> const scored_server& {
-        boost::random::uniform_int_distribution<std::size_t> draw(
-            0, scored.size() - 1);
-        return scored[draw(engine_)];
-    };
-    if (std::holds_alternative<place_at_random>(options_.policy)) {
-        place(request, pick_random(), count, now, out);
-        return;
-    }
-    if (std::holds_alternative<place_by_two_choices>(options_.policy)) {
-        const auto& a = pick_random();
-        const auto& b = pick_random();
-        place(request,
-              entry_of(a.id).in_flight <= entry_of(b.id).in_flight ? a : b,
-              count, now, out);
+    if (!std::holds_alternative<place_by_expected_time>(options_.policy)) {
+        place(request, choose_untold(scored), count, now, out);
         return;
     }
     const bool any_told =
@@ -492,6 +357,13 @@
     request.retry_at = now + look_interval * others;
 }
 
+// This instance's part of the connections that a server accepts.
+unsigned request_router::connection_share(const request_entry& request) const {
+    const auto share =
+        request.max_connections / std::max<std::size_t>(1, instances_);
+    return std::max(least_connections, static_cast<unsigned>(share));
+}
+
 void request_router::place(request_entry& request, const scored_server& chosen,
                            std::size_t count, time_point now, actions& out) {
     const bool may_run_elsewhere = !request.running.empty() || request.lost;
@@ -508,10 +380,7 @@
     order.service = request.service;
     order.address = server.info.address;
     order.time_left = request.limit_at - now;
-    const auto share =
-        request.max_connections / std::max<std::size_t>(1, instances_);
-    order.connections =
-        std::max(least_connections, static_cast<unsigned>(share));
+    order.connections = connection_share(request);
     order.repeatable = request.repeats == repetition::repeatable;
     order.hedge = !request.running.empty();
     order.load = entry.load.value_or(server_load_sample{});
--- /dev/null
+++ b/src/decisions/placing/request_probing.cpp
@@ -0,0 +1,149 @@
+#include "lacewingbeam/request_router.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+
+// How the request router asks backend servers for their load.
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double hopeless_distrust = 0.7;
+
+// A server that does not answer a probe is asked again after this time.
+constexpr duration silence_pause = milliseconds(600);
+
+constexpr double probe_burst = 12;
+
+// An instance begins with what it gathers in this time: starting takes about
+// as long, and so the budget holds even for one that always starts again.
+constexpr duration first_probes = milliseconds(700);
+
+// The part of the probe budget that is used; the rest covers instances that
+// have started meanwhile.
+constexpr double probe_part = 0.9;
+
+// A time this near to the best possible is not worth waiting for more probes.
+constexpr double good_enough_factor = 1.1;
+
+} // namespace
+
+// The server's part of the probe budget that is this instance's.
+token_bucket& request_router::probes_of(server_entry& entry, time_point now) {
+    const double rate =
+        probe_part * options_.probes_per_second /
+        static_cast<double>(std::max<std::size_t>(1, instances_));
+    if (!entry.probes) {
+        entry.probes = std::make_unique<token_bucket>(rate, probe_burst, now);
+        entry.probes->add(rate * to_ms(first_probes) / 1000);
+    }
+    entry.probes->set_rate(rate, now);
+    return *entry.probes;
+}
+
+void request_router::send_probes(request_entry& request, unsigned count,
+                                 duration timeout, time_point now,
+                                 actions& out) {
+    auto servers = candidates(request);
+    std::erase_if(servers, [&](const known_server* server) {
+        return now < entry_of(server->info.id).silent_until;
+    });
+    request.pending.clear();
+    unsigned sent = 0;
+    while (sent < count && !servers.empty()) {
+        boost::random::uniform_int_distribution<std::size_t> draw(
+            0, servers.size() - 1);
+        const auto at =
+            servers.begin() + static_cast<std::ptrdiff_t>(draw(engine_));
+        const auto& server = **at;
+        servers.erase(at);
+        auto& entry = entry_of(server.info.id);
+        if (distrust_of(entry, now) > hopeless_distrust && !servers.empty()) {
+            continue;
+        }
+        if (!probes_of(entry, now).try_take(now)) {
+            continue;
+        }
+        const auto id = probe_id{next_probe_++};
+        probes_[id] = {request.id, server.info.id};
+        request.pending.push_back(id);
+        out.emplace_back(probe_order{id, server.info.id, server.info.address,
+                                     request.health_path,
+                                     connection_share(request), timeout});
+        ++sent;
+    }
+    if (sent == 0) {
+        decide(request, now, out);
+        return;
+    }
+    request.decide_at = now + timeout;
+}
+
+request_router::actions
+request_router::on_probe_answered(probe_id id,
+                                  const std::optional<server_load_sample>& load,
+                                  time_point now) {
+    actions out;
+    const auto found = probes_.find(id);
+    if (found == probes_.end()) {
+        return out;
+    }
+    const auto server = found->second.server;
+    take_load(server, load, now);
+    entry_of(server).silent_until = time_point{};
+    probe_settled(id, now, out);
+    return out;
+}
+
+request_router::actions request_router::on_probe_failed(probe_id id,
+                                                        probe_failure failure,
+                                                        time_point now) {
+    actions out;
+    const auto found = probes_.find(id);
+    if (found == probes_.end()) {
+        return out;
+    }
+    const auto server = found->second.server;
+    auto& entry = entry_of(server);
+    entry.load.reset();
+    if (failure != probe_failure::broken) {
+        entry.silent_until = now + silence_pause;
+    }
+    if (failure == probe_failure::refused) {
+        constexpr double refusal_weight = 0.5;
+        note_outcome(server, false, refusal_weight, now);
+    }
+    probe_settled(id, now, out);
+    return out;
+}
+
+void request_router::probe_settled(probe_id id, time_point now, actions& out) {
+    const auto probe = probes_.at(id);
+    probes_.erase(id);
+    const auto found = requests_.find(probe.call);
+    if (found == requests_.end()) {
+        return;
+    }
+    auto& request = found->second;
+    if (std::erase(request.pending, id) == 0 || !request.decide_at) {
+        return;
+    }
+    if (request.pending.empty() || good_enough(request, probe.server, now)) {
+        decide(request, now, out);
+    }
+}
+
+bool request_router::good_enough(const request_entry& request,
+                                 const std::string& server, time_point now) {
+    const auto* known = directory_.find(server);
+    const auto& entry = entry_of(server);
+    if (known == nullptr || known->info.leaving || now != entry.load_at) {
+        return false;
+    }
+    const auto view = view_of(request, *known, now);
+    return expected_time_ms(view) <= good_enough_factor * view.work_ms;
+}
+
+} // namespace lacewingbeam
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -3,7 +3,6 @@
 #include <boost/random/bernoulli_distribution.hpp>
 #include <criterion/criterion.h>
 #include <memory>
-#include <queue>
 
 // Many instances that tell each other of one store, with messages lost and
 // instances killed.
@@ -94,7 +93,9 @@
     struct answer {
         time_point at;
         std::size_t to = 0;
-        store_page page;
+        store_table table{};
+        bool snapshot = false;
+        std::uint64_t after = 0;
     };
 
     store_page make_page(store_table table, bool snapshot,
@@ -118,12 +119,11 @@
     }
 
     void run(std::size_t node, const read_snapshot& order) {
-        answers_.push_back(
-            {now + crossing, node, make_page(order.table, true, 0)});
+        answers_.push_back({now + crossing, node, order.table, true, 0});
     }
     void run(std::size_t node, const read_changes& order) {
-        answers_.push_back({now + crossing + order.wait, node,
-                            make_page(order.table, false, order.after)});
+        answers_.push_back({now + crossing + order.wait, node, order.table,
+                            false, order.after});
     }
     void run(std::size_t node, const send_to_peer& order) {
         if (boost::random::bernoulli_distribution<double>(lost_)(engine_)) {
@@ -164,12 +164,11 @@
             }
             return item.at <= now;
         });
-        for (auto& item : read) {
+        for (const auto& item : read) {
             if (alive[item.to]) {
-                item.page =
-                    make_page(item.page.table, item.page.snapshot,
-                              item.page.rows.empty() ? revision_ - 1 : 0);
-                carry_out(item.to, nodes_[item.to]->on_page(item.page, now));
+                const auto page =
+                    make_page(item.table, item.snapshot, item.after);
+                carry_out(item.to, nodes_[item.to]->on_page(page, now));
             }
         }
     }
