End a stop only when every answer has left the process

Now answers that are not yet handed to the kernel are counted, and the stop waits for them. Two listener tests, with a caller that reads slowly.

--- a/src/adapters/http_listener.cpp
+++ b/src/adapters/http_listener.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-incoming_request::incoming_request(const event_loop& loop,
-                                   evhttp_request* request)
-    : request_(request) {
+incoming_request::incoming_request(
+    const event_loop& loop, evhttp_request* request,
+    std::unordered_set<evhttp_connection*>& unsent)
+    : unsent_(unsent), request_(request) {
     auto* connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, on_closed, this);
     const int fd =
@@ -95,10 +96,25 @@
 void incoming_request::release() {
     close_watch_.reset();
     auto* connection = evhttp_request_get_connection(request_);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    unsent_.insert(connection);
+    evhttp_connection_set_closecb(connection, on_reply_lost, &unsent_);
+    evhttp_request_set_on_complete_cb(request_, on_reply_written, &unsent_);
     request_ = nullptr;
 }
 
+void incoming_request::on_reply_written(evhttp_request* request,
+                                        void* argument) {
+    auto* unsent =
+        static_cast<std::unordered_set<evhttp_connection*>*>(argument);
+    unsent->erase(evhttp_request_get_connection(request));
+}
+
+void incoming_request::on_reply_lost(evhttp_connection* connection,
+                                     void* argument) {
+    static_cast<std::unordered_set<evhttp_connection*>*>(argument)->erase(
+        connection);
+}
+
 void incoming_request::reply(int status, const header_list& headers,
                              std::string_view body) {
     if (request_ == nullptr) {
@@ -222,8 +238,8 @@
 
 void http_listener::on_request(evhttp_request* request, void* argument) {
     auto* self = static_cast<http_listener*>(argument);
-    self->request.emit(
-        std::make_shared<incoming_request>(self->loop_, request));
+    self->request.emit(std::make_shared<incoming_request>(self->loop_, request,
+                                                          self->unsent_));
 }
 
 } // namespace lacewingbeam
--- a/src/adapters/http_listener.hpp
+++ b/src/adapters/http_listener.hpp
@@ -24,7 +24,9 @@
 // abort, or when the other side goes away.
 class incoming_request {
 public:
-    incoming_request(const event_loop& loop, evhttp_request* request);
+    // `unsent` gets the connection while its answer is being written.
+    incoming_request(const event_loop& loop, evhttp_request* request,
+                     std::unordered_set<evhttp_connection*>& unsent);
     incoming_request(const incoming_request&) = delete;
     incoming_request& operator=(const incoming_request&) = delete;
     ~incoming_request();
@@ -63,10 +65,13 @@
     static void on_closed(evhttp_connection*, void* argument);
     static void on_peer_closed(evutil_socket_t, short, void* argument);
     static void on_written(evhttp_connection*, void* argument);
+    static void on_reply_written(evhttp_request* request, void* argument);
+    static void on_reply_lost(evhttp_connection* connection, void* argument);
     void add_headers(const header_list& headers);
     void release();
     void lose_connection(bool free_connection);
 
+    std::unordered_set<evhttp_connection*>& unsent_;
     evhttp_request* request_;
     event_handle close_watch_;
     bool started_ = false;
@@ -84,6 +89,9 @@
 
     std::uint16_t port() const { return port_; }
 
+    // Answers that are whole and not yet handed to the kernel.
+    std::size_t unsent_answers() const { return unsent_.size(); }
+
     // Limits of connections accepted from now on.
     void set_limits(const listener_limits& limits);
 
@@ -97,6 +105,7 @@
     evhttp* server_;
     evhttp_bound_socket* socket_;
     std::uint16_t port_ = 0;
+    std::unordered_set<evhttp_connection*> unsent_;
 };
 
 } // namespace lacewingbeam
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -24,8 +24,8 @@
 // answers to send callers elsewhere.
 constexpr duration linger = milliseconds(3000);
 
-// The last answer's bytes have left the process after this time.
-constexpr duration flush_time = milliseconds(150);
+// The kernel has sent the last answer's bytes after this time.
+constexpr duration flush_time = milliseconds(300);
 
 // The part of the time between SIGTERM and SIGKILL that is used.
 constexpr double grace_part = 0.95;
@@ -221,8 +221,12 @@
 void router_process::stop_if_done() {
     const auto now = loop_.now();
     const auto stopping = now - *stopping_since_;
-    const bool idle = gateway_->requests() == 0 &&
-                      now - gateway_->last_finished() > flush_time;
+    if (callers_.unsent_answers() > 0) {
+        last_unsent_ = now;
+    }
+    const bool idle =
+        gateway_->requests() == 0 &&
+        now - std::max(last_unsent_, gateway_->last_finished()) > flush_time;
     if (stopping > linger) {
         router_->refuse_arrivals();
     }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -49,6 +49,7 @@
     scoped_event term_signal_;
     scoped_event reload_signal_;
     std::optional<time_point> stopping_since_;
+    time_point last_unsent_; // an answer was still being written
 };
 
 } // namespace lacewingbeam
--- /dev/null
+++ b/test/unit/listener_test.cpp
@@ -0,0 +1,98 @@
+#include "adapters/http_listener.hpp"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+// The callers' side against a caller that reads slowly.
+using namespace lacewingbeam;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t large_body = 8U << 20U;
+
+class slow_caller {
+public:
+    explicit slow_caller(std::uint16_t port)
+        : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+        const int size = 4096;
+        setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        cr_assert_eq(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                             sizeof address),
+                     0);
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        cr_assert_eq(write(socket_, request.data(), request.size()),
+                     static_cast<ssize_t>(request.size()));
+    }
+    slow_caller(const slow_caller&) = delete;
+    slow_caller& operator=(const slow_caller&) = delete;
+    ~slow_caller() { close(socket_); }
+
+    void read_some() const {
+        char piece[1 << 16];
+        recv(socket_, piece, sizeof piece, MSG_DONTWAIT);
+    }
+
+private:
+    int socket_;
+};
+
+// Runs the loop until the condition holds; false if it never does.
+bool run_until(event_loop& loop, const std::function<bool()>& condition) {
+    constexpr int most_rounds = 20000;
+    bool held = false;
+    int rounds = 0;
+    auto timer = loop.every(milliseconds(1), [&] {
+        held = condition();
+        if (held || ++rounds == most_rounds) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    return held;
+}
+
+struct answering_listener {
+    event_loop loop;
+    http_listener listener{loop, "127.0.0.1", 0, {}};
+    bool answered = false;
+
+    answering_listener() {
+        listener.request.connect(
+            [this](const std::shared_ptr<incoming_request>& one) {
+                one->reply(200, {}, std::string(large_body, 'x'));
+                loop.defer([one] {});
+                answered = true;
+            });
+    }
+};
+
+} // namespace
+
+// Found by the bench: LOST, a stop cut an answer that was still being written.
+Test(http_listener, large_answer_is_unsent_until_the_caller_has_read_it) {
+    answering_listener world;
+    const slow_caller caller(world.listener.port());
+    cr_assert(run_until(world.loop, [&] { return world.answered; }));
+    cr_assert_eq(world.listener.unsent_answers(), 1);
+    cr_assert(run_until(world.loop, [&] {
+        caller.read_some();
+        return world.listener.unsent_answers() == 0;
+    }));
+}
+
+Test(http_listener, answer_to_a_caller_that_leaves_is_no_longer_unsent) {
+    answering_listener world;
+    {
+        const slow_caller caller(world.listener.port());
+        cr_assert(run_until(world.loop, [&] { return world.answered; }));
+    }
+    cr_assert(run_until(world.loop,
+                        [&] { return world.listener.unsent_answers() == 0; }));
+}
