--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -221,7 +221,7 @@
     struct scored_server {
         std::string id;
         double expected_ms = 0;
-        bool free_slot = false;
+        bool useful_slot = false;
         bool told = false; // has a fresh sample
     };
 
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -23,7 +23,7 @@
     {event_number::start_failed, log_level::error, "start_failed",
      "The instance could not start; the field reason says why."},
     {event_number::reload_ignored, log_level::info, "reload_ignored",
-     "SIGHUP came; the settings that are in force need no reload."},
+     "SIGHUP came; settings are read at the start only."},
     {event_number::table_changed, log_level::info, "table_changed",
      "A newer version of the operators' table is in force."},
     {event_number::table_row_rejected, log_level::warning, "table_row_rejected",
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -13,14 +13,20 @@
 
 using std::chrono::milliseconds;
 
-// Older samples say nothing of servers whose load changes within
-// milliseconds.
+// A sample counts for the round of probes it came in: the default timeout of a
+// round and some time to decide. Older ones say nothing of servers whose load
+// changes within milliseconds.
 constexpr duration sample_life = milliseconds(15);
 
-// Distrust halves in this time without a new failure.
+// Distrust halves in this time without a new failure; servers recover within
+// seconds.
 constexpr double distrust_half_life_s = 2;
+
+// Parts by which one failure moves distrust towards 1, and one success towards
+// 0: an instance sees few requests of one server, so each counts much.
 constexpr double distrust_gain = 0.5;
 constexpr double trust_gain = 0.4;
+
 // Time between two looks for a free slot.
 constexpr duration look_interval = milliseconds(20);
 
@@ -34,20 +40,16 @@
 // One in so many servers of a subset is of another failure domain.
 constexpr std::size_t far_part = 5;
 
+// One for a probe beside one in use.
 constexpr unsigned least_connections = 2;
 
+// Before any answer was seen: objectives are set at about three times the
+// usual time.
 double initial_work_ms(duration objective) {
     constexpr double part = 0.35;
     return part * to_ms(objective);
 }
 
-template <class... Visitors>
-struct overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template <class... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 } // namespace
 
 request_router::server_entry& request_router::entry_of(const std::string& id) {
@@ -263,7 +265,7 @@
         item.id = server->info.id;
         item.told = now - entry.load_at <= sample_life;
         item.expected_ms = expected_time_ms(view) * spread(engine_);
-        item.free_slot = has_useful_slot(view);
+        item.useful_slot = has_useful_slot(view);
         scored.push_back(std::move(item));
     }
     return scored;
@@ -320,7 +322,7 @@
                           });
     const double left = to_ms(request.limit_at - now);
     if (running) {
-        if (best.free_slot) {
+        if (best.useful_slot) {
             place(request, best, count, now, out);
         }
         return;
@@ -329,7 +331,7 @@
         to_ms(request.arrived + request.objective - now);
     const bool better_soon = best.expected_ms > objective_left &&
                              objective_left > patience * work_of(request);
-    if (!best.free_slot || better_soon) {
+    if (!best.useful_slot || better_soon) {
         wait(request, now, out);
         return;
     }
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -10,11 +10,15 @@
 
 using std::chrono::milliseconds;
 
+// Beyond this, reached after two failures in a row, a server is not asked while
+// there are others.
 constexpr double hopeless_distrust = 0.7;
 
 // A server that does not answer a probe is asked again after this time.
 constexpr duration silence_pause = milliseconds(600);
 
+// Probes of one server that an instance may send at once: three requests that
+// come together, each asking four servers of a small service.
 constexpr double probe_burst = 12;
 
 // An instance begins with what it gathers in this time: starting takes about
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -15,6 +15,7 @@
 using std::chrono::seconds;
 
 constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 constexpr duration upkeep_interval = milliseconds(250);
@@ -190,6 +191,10 @@
 }
 
 void router_process::answer_readiness(incoming_request& incoming) {
+    if (incoming.target() != platform_.readiness_path) {
+        incoming.reply(status_not_found, {}, "");
+        return;
+    }
     const bool ready =
         !stopping_since_ && follower_->known().routing() != nullptr;
     incoming.reply(ready ? status_ok : status_unavailable, {}, "");
