--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -272,7 +272,7 @@
     void drop(call_id id, std::optional<attempt_id> keep, actions& out);
     duration retry_time(const request_entry& request, double wait_ms,
                         time_point now);
-    bool try_hedge(request_entry& request, time_point now, actions& out);
+    void try_hedge(request_entry& request, time_point now, actions& out);
     std::optional<time_point> hedge_due(const request_entry& request) const;
     time_point due_of(const request_entry& request) const;
 
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -211,10 +211,6 @@
         begin_round(request, now, out);
         return;
     }
-    if (request.lost) {
-        finish(request, may_have_run{*request.lost}, std::nullopt, out);
-        return;
-    }
     refuse(request, request.refused.value_or(not_run_reason::shed), now, out);
 }
 
@@ -311,14 +307,12 @@
 }
 
 // A second server for a request that is late where it is.
-bool request_router::try_hedge(request_entry& request, time_point now,
+void request_router::try_hedge(request_entry& request, time_point now,
                                actions& out) {
     request.hedged = true;
-    if (!may_repeat(request, now)) {
-        return false;
+    if (may_repeat(request, now)) {
+        begin_round(request, now, out);
     }
-    begin_round(request, now, out);
-    return true;
 }
 
 time_point request_router::due_of(const request_entry& request) const {
