Read changed settings again; refuse registrations by every field

Cause: a changed settings file was logged and ignored, with a signal or without; a budget that operators change took hold at the next start only. A registration whose version, sequence, start or cold time was missing or of another type was used, although no backend server writes such an entry. Ruled out: inotify (not available to the daemon), reading the whole file each second. Change: SIGHUP and a change of the file's inode, size or time read it again; budgets, placing, store and seeds are in force at once, what needs a restart keeps its value and is named (LB1006); a bad file leaves the last good one in force (LB1007). Registrations are checked by every field that is promised. Test: reload::*, settings_watch::*, registration::forged_entries_*, which failed before.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -78,6 +78,10 @@
 
     void set_seeds(std::span<const std::string> peer_addresses);
 
+    // Takes over how the store is read and by how many; the rest of the
+    // options holds for the instance's life.
+    void reconfigure(const follower_options& options);
+
     // The store answered a read.
     actions on_page(const store_page& page, time_point now);
     actions on_failed(store_table table, store_failure failure, time_point now);
--- a/include/lacewingbeam/repeat_budget.hpp
+++ b/include/lacewingbeam/repeat_budget.hpp
@@ -22,6 +22,9 @@
 public:
     explicit repeat_budget(repeat_terms terms) : terms_(terms) {}
 
+    // What was counted is kept.
+    void set_terms(repeat_terms terms) { terms_ = terms; }
+
     void on_request(time_point now);
 
     // Takes one repeat if the part of `instances` equal sharers allows it.
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -136,6 +136,10 @@
     request_router(const directory& known, router_options options,
                    std::uint64_t seed);
 
+    // Other budgets, policy and limits; requests under way keep theirs. What
+    // budgets have counted so far is kept.
+    void reconfigure(router_options options);
+
     // Instances that share the budgets.
     void set_instances(std::size_t count) { instances_ = count; }
 
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 28> catalogue{{
+constexpr std::array<event_description, 29> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance listens on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -22,8 +22,10 @@
      "Nothing was left to do; the process ends."},
     {event_number::start_failed, log_level::error, "start_failed",
      "The instance could not start; the field reason says why."},
-    {event_number::reload_ignored, log_level::info, "reload_ignored",
-     "SIGHUP came; settings are read at the start only."},
+    {event_number::reloaded, log_level::info, "reloaded",
+     "The settings were read again and are in force."},
+    {event_number::reload_failed, log_level::warning, "reload_failed",
+     "Changed settings cannot be accepted; the last good ones stay in force."},
     {event_number::table_changed, log_level::info, "table_changed",
      "A newer version of the operators' table is in force."},
     {event_number::table_row_rejected, log_level::warning, "table_row_rejected",
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -61,6 +61,13 @@
     }
 }
 
+void directory_follower::reconfigure(const follower_options& options) {
+    options_.read_pause = options.read_pause;
+    options_.readers = options.readers;
+    options_.silence = options.silence;
+    options_.return_hold = options.return_hold;
+}
+
 void directory_follower::set_seeds(
     std::span<const std::string> peer_addresses) {
     members_.set_seeds(peer_addresses);
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -42,6 +42,15 @@
     : directory_(known), own_hash_(seed), options_(std::move(options)),
       engine_(seed) {}
 
+void request_router::reconfigure(router_options options) {
+    options_ = std::move(options);
+    for (auto& [name, service] : services_) {
+        if (service.repeats) {
+            service.repeats->set_terms(options_.repeats);
+        }
+    }
+}
+
 const std::string& request_router::pick_service(const route& chosen,
                                                 random_engine& engine) {
     double sum = 0;
--- a/src/router/directory_sync.hpp
+++ b/src/router/directory_sync.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <utility>
 
 // Carries the directory's reads to the store and its messages to the peers.
 namespace lacewingbeam {
@@ -29,6 +30,9 @@
     void start();
     void begin_stop();
 
+    // Holds from the next read on.
+    void reconfigure(sync_options options) { options_ = std::move(options); }
+
     // Routes or backend servers changed.
     sigc::signal<void(const directory::change&)> changed;
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -1,7 +1,9 @@
 #include "router_process.hpp"
 
 #include "adapters/event_log.hpp"
+#include "adapters/settings_file.hpp"
 #include "lacewingbeam/endpoint.hpp"
+#include "router_terms.hpp"
 
 #include <boost/algorithm/string.hpp>
 #include <csignal>
@@ -21,6 +23,13 @@
 constexpr duration upkeep_interval = milliseconds(250);
 constexpr duration stop_check_interval = milliseconds(50);
 
+// Settings that were replaced without a signal are in force within this time
+// and what reading them takes.
+constexpr duration watch_interval = seconds(1);
+
+// Options that are read again draw nothing at random.
+constexpr std::uint64_t no_seed_needed = 0;
+
 // The balancer in front asks for readiness once a second and needs two bad
 // answers to send callers elsewhere.
 constexpr duration linger = milliseconds(3000);
@@ -41,68 +50,6 @@
     return parse_endpoint(text).value(); // checked when settings were read
 }
 
-duration from_seconds(double value) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(value));
-}
-
-std::vector<std::string> split_list(const std::string& text) {
-    std::vector<std::string> items;
-    if (!text.empty()) {
-        boost::algorithm::split(items, text, [](char c) { return c == ','; });
-    }
-    for (auto& item : items) {
-        boost::algorithm::trim(item);
-    }
-    return items;
-}
-
-placing_policy make_policy(const settings::placing_section& values) {
-    if (values.policy == "random") {
-        return place_at_random{};
-    }
-    if (values.policy == "power_of_two") {
-        return place_by_two_choices{};
-    }
-    return place_by_expected_time{static_cast<unsigned>(values.probes),
-                                  milliseconds(values.probe_timeout)};
-}
-
-router_options make_router_options(const settings::router_settings& values) {
-    router_options options;
-    options.policy = make_policy(values.placing);
-    options.repeats = {values.budgets.repeat_ratio, values.budgets.repeat_slack,
-                       from_seconds(values.budgets.repeat_window)};
-    options.probes_per_second = values.budgets.probes_per_second;
-    options.hedge_at = values.placing.hedge_at;
-    options.failure_domain = values.router.failure_domain;
-    options.max_requests = static_cast<std::size_t>(values.router.max_requests);
-    return options;
-}
-
-follower_options make_follower_options(const settings::router_settings& values,
-                                       std::uint64_t seed) {
-    follower_options options;
-    options.read_pause = milliseconds(values.store.read_pause);
-    options.readers = static_cast<std::size_t>(values.store.readers);
-    options.silence = milliseconds(values.store.silence);
-    options.seed_patience = milliseconds(values.store.seed_patience);
-    options.return_hold = milliseconds(values.store.return_hold);
-    options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
-    options.members.heartbeat_interval = options.heartbeat_interval;
-    options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
-    options.members.suspect_after = milliseconds(values.peers.suspect_after);
-    options.members.gone_after = milliseconds(values.peers.gone_after);
-    options.seed = seed;
-    random_engine engine(seed);
-    options.own.id = draw_incarnation(engine);
-    options.own.peer_address = values.router.peers;
-    options.own.caller_address = values.router.callers;
-    options.own.admin_address = values.router.metrics;
-    options.own.failure_domain = values.router.failure_domain;
-    return options;
-}
-
 listener_limits make_limits(const caller_limits& limits) {
     listener_limits out;
     out.max_header_bytes = limits.max_header_bytes;
@@ -113,26 +60,29 @@
 
 } // namespace
 
-router_process::router_process(const settings::router_settings& values,
+router_process::router_process(const std::string& settings_path,
                                platform_binding platform)
-    : settings_(values), platform_(std::move(platform)),
-      callers_(loop_, checked_endpoint(values.router.callers).ip,
-               checked_endpoint(values.router.callers).port,
+    : settings_(read_router_settings_file(settings_path)),
+      watch_(settings_path), platform_(std::move(platform)),
+      callers_(loop_, checked_endpoint(settings_.router.callers).ip,
+               checked_endpoint(settings_.router.callers).port,
                make_limits(caller_limits{})),
-      readiness_(loop_, checked_endpoint(values.router.readiness).ip,
-                 checked_endpoint(values.router.readiness).port, {}),
-      metrics_port_(loop_, checked_endpoint(values.router.metrics).ip,
-                    checked_endpoint(values.router.metrics).port, {}),
-      peers_(loop_, checked_endpoint(values.router.peers).ip,
-             checked_endpoint(values.router.peers).port, values.peers.key) {
+      readiness_(loop_, checked_endpoint(settings_.router.readiness).ip,
+                 checked_endpoint(settings_.router.readiness).port, {}),
+      metrics_port_(loop_, checked_endpoint(settings_.router.metrics).ip,
+                    checked_endpoint(settings_.router.metrics).port, {}),
+      peers_(loop_, checked_endpoint(settings_.router.peers).ip,
+             checked_endpoint(settings_.router.peers).port,
+             settings_.peers.key) {
+    configure_log(settings_.log.level);
     const auto seed = draw_seed();
-    follower_.emplace(make_follower_options(values, seed), loop_.now());
-    follower_->set_seeds(split_list(values.peers.seeds));
-    router_.emplace(follower_->known(), make_router_options(values), seed + 1);
+    follower_.emplace(make_follower_options(settings_, seed), loop_.now());
+    follower_->set_seeds(split_list(settings_.peers.seeds));
+    router_.emplace(follower_->known(), make_router_options(settings_),
+                    seed + 1);
     gateway_.emplace(loop_, platform_, *router_, counts_);
     sync_.emplace(loop_, platform_, *follower_, peers_, counts_,
-                  sync_options{values.store.address,
-                               milliseconds(values.store.request_timeout)});
+                  make_sync_options(settings_));
     sync_->changed.connect([this](const directory::change& change) {
         on_directory_changed(change);
     });
@@ -159,8 +109,12 @@
     upkeep_timer_ =
         loop_.every(upkeep_interval, [this] { update_instances(); });
     term_signal_ = loop_.on_signal(SIGTERM, [this] { begin_stop(); });
-    reload_signal_ = loop_.on_signal(
-        SIGHUP, [] { log_event(event_number::reload_ignored, {}); });
+    reload_signal_ = loop_.on_signal(SIGHUP, [this] { reload(); });
+    watch_timer_ = loop_.every(watch_interval, [this] {
+        if (watch_.has_changed()) {
+            reload();
+        }
+    });
     log_event(event_number::started,
               {{"incarnation", to_string(follower_->members().own().id)},
                {"callers", settings_.router.callers},
@@ -171,6 +125,24 @@
     log_event(event_number::stopped, {});
 }
 
+void router_process::reload() {
+    try {
+        std::vector<std::string> fixed;
+        settings_ = merge_reloaded(
+            settings_, read_router_settings_file(watch_.path()), fixed);
+        configure_log(settings_.log.level);
+        router_->reconfigure(make_router_options(settings_));
+        follower_->reconfigure(
+            make_follower_options(settings_, no_seed_needed));
+        follower_->set_seeds(split_list(settings_.peers.seeds));
+        sync_->reconfigure(make_sync_options(settings_));
+        log_event(event_number::reloaded,
+                  {{"needs_restart", boost::algorithm::join(fixed, ",")}});
+    } catch (const settings_error& problem) {
+        log_event(event_number::reload_failed, {{"reason", problem.what()}});
+    }
+}
+
 void router_process::update_instances() {
     router_->set_instances(follower_->sharing_instances(loop_.now()));
 }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -5,21 +5,23 @@
 #include "adapters/http_listener.hpp"
 #include "adapters/metrics.hpp"
 #include "adapters/peer_link.hpp"
+#include "adapters/settings_watch.hpp"
 #include "directory_sync.hpp"
 #include "platform_binding.hpp"
 #include "request_gateway.hpp"
 #include "settings_types.h"
 
 #include <optional>
+#include <string>
 
 // An entry instance that routes requests by host and path.
 namespace lacewingbeam {
 
 class router_process {
 public:
-    // Throws error if a port cannot be bound.
-    router_process(const settings::router_settings& values,
-                   platform_binding platform);
+    // Throws settings_error for settings that cannot be accepted, and error
+    // if a port cannot be bound.
+    router_process(const std::string& settings_path, platform_binding platform);
 
     // Serves until SIGTERM has come and everything under way has ended.
     void run();
@@ -29,10 +31,12 @@
     void answer_readiness(incoming_request& incoming);
     void answer_metrics(incoming_request& incoming);
     void update_instances();
+    void reload();
     void begin_stop();
     void stop_if_done();
 
     settings::router_settings settings_;
+    settings_watch watch_;
     platform_binding platform_;
     event_loop loop_;
     metrics counts_;
@@ -48,6 +52,7 @@
     scoped_event stop_timer_;
     scoped_event term_signal_;
     scoped_event reload_signal_;
+    scoped_event watch_timer_;
     std::optional<time_point> stopping_since_;
     time_point last_unsent_; // an answer was still being written
 };
--- /dev/null
+++ b/src/router/router_terms.cpp
@@ -0,0 +1,114 @@
+#include "router_terms.hpp"
+
+#include <boost/algorithm/string.hpp>
+
+namespace lacewingbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+placing_policy make_policy(const settings::placing_section& values) {
+    if (values.policy == "random") {
+        return place_at_random{};
+    }
+    if (values.policy == "power_of_two") {
+        return place_by_two_choices{};
+    }
+    return place_by_expected_time{static_cast<unsigned>(values.probes),
+                                  milliseconds(values.probe_timeout)};
+}
+
+// Keeps the running value of a setting that only a restart can change.
+template <class Value>
+void keep_running(const char* name, const Value& running, Value& read,
+                  std::vector<std::string>& fixed) {
+    if (read != running) {
+        fixed.emplace_back(name);
+        read = running;
+    }
+}
+
+} // namespace
+
+duration from_seconds(double value) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(value));
+}
+
+std::vector<std::string> split_list(const std::string& text) {
+    std::vector<std::string> items;
+    if (!text.empty()) {
+        boost::algorithm::split(items, text, [](char c) { return c == ','; });
+    }
+    for (auto& item : items) {
+        boost::algorithm::trim(item);
+    }
+    return items;
+}
+
+router_options make_router_options(const settings::router_settings& values) {
+    router_options options;
+    options.policy = make_policy(values.placing);
+    options.repeats = {values.budgets.repeat_ratio, values.budgets.repeat_slack,
+                       from_seconds(values.budgets.repeat_window)};
+    options.probes_per_second = values.budgets.probes_per_second;
+    options.hedge_at = values.placing.hedge_at;
+    options.failure_domain = values.router.failure_domain;
+    options.max_requests = static_cast<std::size_t>(values.router.max_requests);
+    return options;
+}
+
+follower_options make_follower_options(const settings::router_settings& values,
+                                       std::uint64_t seed) {
+    follower_options options;
+    options.read_pause = milliseconds(values.store.read_pause);
+    options.readers = static_cast<std::size_t>(values.store.readers);
+    options.silence = milliseconds(values.store.silence);
+    options.seed_patience = milliseconds(values.store.seed_patience);
+    options.return_hold = milliseconds(values.store.return_hold);
+    options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
+    options.members.heartbeat_interval = options.heartbeat_interval;
+    options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
+    options.members.suspect_after = milliseconds(values.peers.suspect_after);
+    options.members.gone_after = milliseconds(values.peers.gone_after);
+    options.seed = seed;
+    random_engine engine(seed);
+    options.own.id = draw_incarnation(engine);
+    options.own.peer_address = values.router.peers;
+    options.own.caller_address = values.router.callers;
+    options.own.admin_address = values.router.metrics;
+    options.own.failure_domain = values.router.failure_domain;
+    return options;
+}
+
+sync_options make_sync_options(const settings::router_settings& values) {
+    return {values.store.address, milliseconds(values.store.request_timeout)};
+}
+
+settings::router_settings
+merge_reloaded(const settings::router_settings& running,
+               const settings::router_settings& read,
+               std::vector<std::string>& fixed) {
+    auto merged = read;
+    auto& router = merged.router;
+    const auto& was = running.router;
+    keep_running("router.failure_domain", was.failure_domain,
+                 router.failure_domain, fixed);
+    keep_running("router.callers", was.callers, router.callers, fixed);
+    keep_running("router.readiness", was.readiness, router.readiness, fixed);
+    keep_running("router.peers", was.peers, router.peers, fixed);
+    keep_running("router.metrics", was.metrics, router.metrics, fixed);
+    auto& peers = merged.peers;
+    keep_running("peers.key", running.peers.key, peers.key, fixed);
+    keep_running("peers.heartbeat_interval", running.peers.heartbeat_interval,
+                 peers.heartbeat_interval, fixed);
+    keep_running("peers.fan_out", running.peers.fan_out, peers.fan_out, fixed);
+    keep_running("peers.suspect_after", running.peers.suspect_after,
+                 peers.suspect_after, fixed);
+    keep_running("peers.gone_after", running.peers.gone_after, peers.gone_after,
+                 fixed);
+    return merged;
+}
+
+} // namespace lacewingbeam
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -107,6 +107,12 @@
         {"10.128.0.9:8080", "nowhere"},
         {"\"service\"", "\"other\""},
         {"\"zone\":\"a\"", "\"zone\":7"},
+        {"\"version\":\"v1\"", "\"version\":1"},
+        {"\"sequence\":4", "\"sequence\":\"4\""},
+        {"\"sequence\"", "\"serial\""},
+        {"\"coldLeftMs\":500", "\"coldLeftMs\":\"500\""},
+        {"\"coldLeftMs\"", "\"coldLeft\""},
+        {"1790000000000", "\"1790000000000\""},
         {"{", "["}};
     for (const auto& [from, to] : forgeries) {
         auto text = registration;
@@ -115,6 +121,12 @@
     }
 }
 
+Test(registration, server_that_tells_no_start_is_used) {
+    auto text = registration;
+    text.replace(text.find("\"born\""), 6, "\"note\"");
+    cr_assert(is_usable(text));
+}
+
 Test(registration, random_bytes_are_survived) {
     random_engine engine(11);
     boost::random::uniform_int_distribution<int> byte(0, 255);
--- /dev/null
+++ b/test/unit/reload_test.cpp
@@ -0,0 +1,87 @@
+#include "adapters/settings_file.hpp"
+#include "adapters/settings_watch.hpp"
+#include "router/router_terms.hpp"
+#include "router_fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <cstdio>
+#include <fstream>
+
+// Settings that change while an instance runs.
+using namespace lacewingbeam;
+using namespace lacewingbeam::test;
+using std::chrono::seconds;
+
+namespace {
+
+settings::router_settings make_settings() {
+    return parse_router_settings("[router]\nfailure_domain = a\n"
+                                 "callers = 127.0.0.1:1\n"
+                                 "readiness = 127.0.0.1:2\n"
+                                 "peers = 127.0.0.1:3\n"
+                                 "metrics = 127.0.0.1:4\n"
+                                 "[store]\naddress = 127.0.0.1:5\n"
+                                 "[peers]\nseeds = 127.0.0.1:3\nkey = k\n"
+                                 "[budgets]\nrepeat_slack = 40\n",
+                                 "settings.ini");
+}
+
+} // namespace
+
+Test(reload, changed_budgets_and_seeds_are_in_force) {
+    const auto running = make_settings();
+    auto read = running;
+    read.budgets.repeat_slack = 80;
+    read.peers.seeds = "127.0.0.1:9";
+    read.store.address = "127.0.0.1:8";
+    std::vector<std::string> fixed;
+    const auto merged = merge_reloaded(running, read, fixed);
+    cr_assert(merged == read);
+    cr_assert(fixed.empty());
+    cr_assert_eq(make_router_options(merged).repeats.slack, 80);
+    cr_assert_eq(make_sync_options(merged).store_address, "127.0.0.1:8");
+}
+
+Test(reload, address_of_its_own_waits_for_a_restart_and_is_named) {
+    const auto running = make_settings();
+    auto read = running;
+    read.router.callers = "127.0.0.1:7";
+    read.peers.key = "other";
+    std::vector<std::string> fixed;
+    const auto merged = merge_reloaded(running, read, fixed);
+    cr_assert_eq(merged.router.callers, "127.0.0.1:1");
+    cr_assert_eq(merged.peers.key, "k");
+    cr_assert_eq(fixed.size(), 2);
+    cr_assert_eq(fixed[0], "router.callers");
+    cr_assert_eq(fixed[1], "peers.key");
+}
+
+Test(reload, smaller_repeat_budget_binds_requests_under_way) {
+    world_options options;
+    options.router.repeats = {0, 10000, seconds(10)};
+    router_world world(options);
+    const auto sent = router_world::pick<send_order>(
+        world.answer_probes(world.submit(1), {0, 0, 3, 1}));
+    cr_assert_eq(sent.size(), 1);
+    options.router.repeats.slack = 0;
+    world.router.reconfigure(options.router);
+    const auto out = world.router.on_attempt_ended(
+        sent[0].attempt, attempt_not_run{not_run_reason::shed}, world.now);
+    cr_assert(router_world::pick<probe_order>(out).empty());
+    cr_assert_eq(router_world::pick<finish_order>(out).size(), 1);
+}
+
+Test(settings_watch, replaced_file_is_noticed_once) {
+    char path[] = "/tmp/lacewingbeam-watch-XXXXXX";
+    cr_assert_geq(mkstemp(path), 0);
+    settings_watch watch(path);
+    cr_assert_not(watch.has_changed());
+    std::ofstream(path) << "longer than before";
+    cr_assert(watch.has_changed());
+    cr_assert_not(watch.has_changed());
+    std::remove(path);
+    cr_assert_not(watch.has_changed()); // about to be replaced
+    std::ofstream(path) << "new";
+    cr_assert(watch.has_changed());
+    std::remove(path);
+}
