Soak real processes under faults drawn from a seed

Change: test/soak starts store, backend servers, routers and proxies as processes, draws faults from a seed (kills, pauses, stops, reloads, servers that leave, die, refuse, lose or spoil answers, links that delay, cut, fall silent, reset or refuse, the store away, slow, forgetting, edits), and checks what callers and servers saw: whole and own answers, at most once, not run is true, repeats and probes within budget, and with time bounds: prompt final answers, edits in force, no work on servers that left, stops that cut nothing, recovery.

--- /dev/null
+++ b/test/soak/faults.cpp
@@ -0,0 +1,407 @@
+#include "faults.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace soak {
+
+namespace {
+
+using testing_support::json;
+
+const std::vector<std::string> kinds{
+    "router_kill",   "router_pause",   "router_stop",  "router_stop",
+    "router_reload", "server_kill",    "server_pause", "server_leave",
+    "server_leave",  "server_refuse",  "answers_lost", "answers_extra",
+    "answers_other", "answers_marked", "link_delay",   "link_cut",
+    "link_silent",   "link_reset",     "link_refuse",  "store_refuse",
+    "store_forget",  "store_pause",    "store_delay",  "store_silent",
+    "store_cut",     "store_hole",     "edit",         "edit"};
+
+constexpr std::int64_t mean_gap_ms = 450;
+constexpr std::int64_t shortest_ms = 200;
+constexpr std::int64_t longest_ms = 2500;
+
+// A server that leaves takes requests for this long, and a little longer.
+constexpr std::int64_t leave_ms = 2500;
+
+// Entries of servers that died are taken away after three reports unheard.
+constexpr std::int64_t lapse_ms = 1500;
+constexpr std::int64_t reuse_ms = 2000;
+
+} // namespace
+
+std::string service_name(std::size_t number) {
+    return "service" + std::to_string(number);
+}
+
+std::vector<fault> draw_schedule(const soak_options& options) {
+    std::mt19937_64 engine(options.seed);
+    const auto draw = [&](std::int64_t low, std::int64_t high) {
+        return low + static_cast<std::int64_t>(
+                         engine() % static_cast<std::uint64_t>(high - low));
+    };
+    std::vector<fault> schedule;
+    const auto end = options.length_ms - options.calm_ms - longest_ms;
+    for (auto at = draw(500, 1500); at < end; at += draw(0, 2 * mean_gap_ms)) {
+        fault one;
+        one.at_ms = at;
+        one.kind = kinds[static_cast<std::size_t>(
+            draw(0, static_cast<std::int64_t>(kinds.size())))];
+        one.target = static_cast<std::size_t>(draw(0, 1000));
+        one.for_ms = draw(shortest_ms, longest_ms);
+        schedule.push_back(one);
+    }
+    return schedule;
+}
+
+fault_director::fault_director(testing_support::installation& world,
+                               const soak_options& options, ledger& seen)
+    : world_(world), options_(options), seen_(seen),
+      schedule_(draw_schedule(options)) {}
+
+std::string fault_director::add_server(const std::string& service,
+                                       const std::string& port) {
+    const auto id = "s" + std::to_string(next_server_++);
+    world_.add_server(service, id, {3, true, port});
+    added_ms_[id] = now_ms();
+    return id;
+}
+
+void fault_director::start_all() {
+    for (int i = 0; i < 2; ++i) {
+        store_proxies_.push_back(
+            testing_support::start_proxy(world_.store(), world_.files()));
+    }
+    publish_next();
+    for (std::size_t s = 0; s < options_.services; ++s) {
+        for (std::size_t i = 0; i < options_.servers; ++i) {
+            servers_.push_back(add_server(service_name(s)));
+        }
+    }
+    for (std::size_t i = 0; i < options_.routers; ++i) {
+        world_.add_router(store_proxies_[i % store_proxies_.size()]->address);
+    }
+    for (auto& router : world_.routers()) {
+        world_.start(*router);
+    }
+    for (auto& router : world_.routers()) {
+        testing_support::eventually([&] { return world_.is_ready(*router); });
+    }
+    started_ms_ = now_ms();
+    seen_.calm_from_ms = started_ms_ + options_.length_ms - options_.calm_ms;
+    seen_.disturbances.push_back(
+        {disturbance::all_routers, started_ms_, started_ms_, "start"});
+}
+
+// The moving route goes to one service after the other; the rest stays.
+void fault_director::publish_next() {
+    moving_to_ = (moving_to_ + 1) % options_.services;
+    std::vector<testing_support::route_text> routes;
+    for (std::size_t s = 0; s < options_.services; ++s) {
+        routes.push_back({"/safe" + std::to_string(s) + "/", service_name(s)});
+        routes.push_back(
+            {"/once" + std::to_string(s) + "/", service_name(s), false});
+    }
+    routes.push_back({"/moving/", service_name(moving_to_)});
+    world_.publish(routes);
+    seen_.edits.push_back({service_name(moving_to_), now_ms()});
+}
+
+void fault_director::when_store_takes(step_function step) {
+    constexpr std::int64_t look_ms = 100;
+    if (now_ms() > store_away_until_ms_) {
+        step();
+        return;
+    }
+    later(look_ms, [this, step = std::move(step)] { when_store_takes(step); });
+}
+
+void fault_director::later(std::int64_t delay_ms, step_function step) {
+    later_.emplace(now_ms() + delay_ms, std::move(step));
+}
+
+void fault_director::disturb(std::size_t router, std::int64_t for_ms,
+                             const std::string& what) {
+    const auto now = now_ms();
+    seen_.disturbances.push_back({router, now, now + for_ms, what});
+}
+
+void fault_director::step() {
+    const auto now = now_ms();
+    while (next_fault_ < schedule_.size() &&
+           started_ms_ + schedule_[next_fault_].at_ms <= now) {
+        begin(schedule_[next_fault_++]);
+    }
+    while (!later_.empty() && later_.begin()->first <= now) {
+        const auto due = later_.extract(later_.begin());
+        due.mapped()();
+    }
+    collect();
+}
+
+bool fault_director::is_over() const {
+    return now_ms() >= started_ms_ + options_.length_ms;
+}
+
+void fault_director::begin(const fault& one) {
+    std::cout << "fault at=" << one.at_ms << " kind=" << one.kind
+              << " target=" << one.target << " for=" << one.for_ms << std::endl;
+    if (one.kind == "edit") {
+        when_store_takes([this] { publish_next(); });
+    } else if (one.kind.starts_with("router_")) {
+        begin_router_fault(one);
+    } else if (one.kind.starts_with("store_")) {
+        begin_store_fault(one);
+    } else if (one.kind.starts_with("link_")) {
+        const auto& server =
+            world_.server(servers_[one.target % servers_.size()]);
+        begin_link_fault(one, server.proxy->control);
+    } else {
+        begin_server_fault(one);
+    }
+}
+
+void fault_director::begin_router_fault(const fault& one) {
+    const auto number = one.target % world_.routers().size();
+    auto& router = *world_.routers()[number];
+    if (!router.child->is_running()) {
+        return; // it is being restarted
+    }
+    if (one.kind == "router_kill") {
+        disturb(number, one.for_ms, one.kind);
+        router.child->signal(SIGKILL);
+        later(one.for_ms, [this, number] {
+            auto& dead = *world_.routers()[number];
+            dead.child->wait_for_end(std::chrono::seconds(5));
+            world_.start(dead);
+            disturb(number, 0, "start");
+        });
+    } else if (one.kind == "router_pause") {
+        disturb(number, one.for_ms, one.kind);
+        router.child->signal(SIGSTOP);
+        later(one.for_ms, [this, number] {
+            world_.routers()[number]->child->signal(SIGCONT);
+            disturb(number, 0, "resumed");
+        });
+    } else if (one.kind == "router_stop") {
+        seen_.stops.push_back({number, now_ms(), INT64_MAX / 2});
+        router.child->signal(SIGTERM);
+        restart_when_ended(number, seen_.stops.size() - 1);
+    } else {
+        world_.write_settings(
+            router,
+            "[placing]\nprobes = " + std::to_string(2 + one.target % 4) + "\n");
+        if (one.for_ms % 2 == 0) {
+            router.child->signal(SIGHUP);
+        }
+    }
+}
+
+void fault_director::restart_when_ended(std::size_t number, std::size_t stop) {
+    constexpr std::int64_t look_ms = 50;
+    later(look_ms, [this, number, stop] {
+        auto& router = *world_.routers()[number];
+        if (router.child->is_running()) {
+            restart_when_ended(number, stop);
+            return;
+        }
+        seen_.stops[stop].ended_ms = now_ms();
+        world_.start(router);
+        disturb(number, 0, "start");
+    });
+}
+
+void fault_director::begin_server_fault(const fault& one) {
+    const auto place = one.target % servers_.size();
+    const auto id = servers_[place];
+    if (going_.contains(id)) {
+        return;
+    }
+    auto& server = world_.server(id);
+    const auto set = [&](const json& settings) {
+        testing_support::installation::control(server.address, settings);
+    };
+    if (one.kind == "server_kill") {
+        server.child->signal(SIGKILL);
+        going_.insert(id);
+        later(lapse_ms, [this, place, id] {
+            when_store_takes([this, place, id] {
+                world_.remove_registration(id);
+                later(reuse_ms, [this, place, id] { replace(place, id); });
+            });
+        });
+    } else if (one.kind == "server_pause") {
+        server.child->signal(SIGSTOP);
+        later(one.for_ms,
+              [this, id] { world_.server(id).child->signal(SIGCONT); });
+    } else if (one.kind == "server_leave") {
+        going_.insert(id);
+        when_store_takes([this, place, id] {
+            world_.register_server(world_.server(id), true);
+            seen_.leaves.push_back({id, now_ms()});
+            later(leave_ms, [this, place, id] { take_away(place, id); });
+        });
+    } else if (server.child->is_running()) {
+        const int count = static_cast<int>(one.for_ms / 100);
+        if (one.kind == "server_refuse") {
+            set({{"refuse_all", true}});
+            const auto address = server.address;
+            later(one.for_ms, [address] {
+                testing_support::installation::control(address,
+                                                       {{"refuse_all", false}});
+            });
+        } else if (one.kind == "answers_lost") {
+            set({{"lose_answers", count}});
+        } else if (one.kind == "answers_extra") {
+            set({{"extra_answers", count}});
+        } else if (one.kind == "answers_other") {
+            set({{"foreign_answers", count}});
+        } else {
+            set({{"encoded_answers", count}, {"unsigned_answers", count}});
+        }
+    }
+}
+
+// A server that has left serves on for a while, then it ends.
+void fault_director::take_away(std::size_t place, const std::string& id) {
+    when_store_takes([this, place, id] {
+        world_.remove_registration(id);
+        later(leave_ms + reuse_ms, [this, place, id] {
+            world_.server(id).child->signal(SIGKILL);
+            replace(place, id);
+        });
+    });
+}
+
+// A server of another service takes over the address of one that has ended,
+// and a new one its place.
+void fault_director::replace(std::size_t place, const std::string& id) {
+    when_store_takes([this, place, id] {
+        const auto& old = world_.server(id);
+        old.child->wait_for_end(std::chrono::seconds(5));
+        note_lines(old);
+        const auto service = old.service;
+        const auto port = old.address.substr(old.address.rfind(':') + 1);
+        const auto other = place % options_.services;
+        servers_.push_back(add_server(service_name(other), port));
+        servers_[place] = add_server(service);
+    });
+}
+
+void fault_director::begin_link_fault(const fault& one,
+                                      const std::string& control) {
+    const auto set = [control](const json& settings) {
+        testing_support::installation::control(control, settings);
+    };
+    constexpr int most_delay_ms = 300;
+    if (one.kind.ends_with("_delay")) {
+        set({{"delay_ms", one.for_ms % most_delay_ms}});
+        later(one.for_ms, [set] { set({{"delay_ms", 0}}); });
+    } else if (one.kind.ends_with("_cut")) {
+        constexpr int most_bytes = 600;
+        set({{"cut_answers", 5}, {"cut_after_bytes", one.for_ms % most_bytes}});
+        later(one.for_ms, [set] { set({{"cut_answers", 0}}); });
+    } else if (one.kind.ends_with("_silent")) {
+        set({{"silence_open", true}});
+    } else if (one.kind.ends_with("_reset")) {
+        set({{"close_open", true}});
+    } else if (one.kind.ends_with("_hole")) {
+        set({{"blackhole", true}, {"silence_open", true}});
+        later(one.for_ms, [set] {
+            set({{"blackhole", false}, {"close_open", true}});
+        });
+    } else {
+        set({{"refuse", true}, {"close_open", true}});
+        later(one.for_ms, [set] { set({{"refuse", false}}); });
+    }
+}
+
+void fault_director::begin_store_fault(const fault& one) {
+    const auto store = world_.store();
+    if (one.kind == "store_refuse" || one.kind == "store_pause") {
+        if (now_ms() <= store_away_until_ms_) {
+            return; // one at a time
+        }
+        store_away_until_ms_ = now_ms() + one.for_ms + 100;
+    }
+    disturb(disturbance::all_routers, one.for_ms, one.kind);
+    if (one.kind == "store_refuse") {
+        const int status = one.for_ms % 2 == 0 ? 503 : 429;
+        testing_support::installation::control(store,
+                                               {{"refuse_status", status}});
+        later(one.for_ms, [store] {
+            testing_support::installation::control(store,
+                                                   {{"refuse_status", 0}});
+        });
+    } else if (one.kind == "store_forget") {
+        testing_support::installation::control(store,
+                                               {{"forget_history", true}});
+    } else if (one.kind == "store_pause") {
+        world_.store_process().signal(SIGSTOP);
+        later(one.for_ms, [this] { world_.store_process().signal(SIGCONT); });
+    } else {
+        const auto& proxy = store_proxies_[one.target % store_proxies_.size()];
+        begin_link_fault(one, proxy->control);
+    }
+}
+
+void fault_director::note_lines(const testing_support::routed_server& server) {
+    for (const auto& line : server.child->take_lines()) {
+        const auto space = line.find(' ');
+        const auto word = line.substr(0, space);
+        const auto end = line.find(' ', space + 1);
+        const auto id = line.substr(space + 1, end - space - 1);
+        if (end == std::string::npos) {
+            continue;
+        }
+        const run_record record{server.id, server.service,
+                                std::stoll(line.substr(end + 1))};
+        if (word == "arrived") {
+            seen_.add_arrival(id, record);
+        } else if (word == "run") {
+            seen_.add_run(id, record);
+        }
+    }
+}
+
+std::vector<std::string> fault_director::find_overuse() {
+    constexpr long most_kb = 32 * 1024; // the long-run target's memory
+    constexpr double most_probes = 60;  // a second, as in the settings
+    std::vector<std::string> out;
+    for (const auto& router : world_.routers()) {
+        const auto status = testing_support::read_file(
+            "/proc/" + std::to_string(router->child->id()) + "/status");
+        const auto at = status.find("VmRSS:");
+        const long kb =
+            at == std::string::npos ? 0 : std::atol(status.c_str() + at + 6);
+        if (kb > most_kb) {
+            out.push_back("memory: " + router->name + " holds " +
+                          std::to_string(kb) + " KB");
+        }
+    }
+    for (const auto& id : servers_) {
+        const auto& server = world_.server(id);
+        if (!server.child->is_running() || going_.contains(id)) {
+            continue;
+        }
+        const auto probes = testing_support::installation::control(
+                                server.address, json::object())
+                                .value("probes", 0.0);
+        const double lived =
+            static_cast<double>(now_ms() - added_ms_[id]) / 1000;
+        if (lived > 5 && probes > most_probes * lived) {
+            out.push_back("probes: " + id + " got " + std::to_string(probes) +
+                          " in " + std::to_string(lived) + " s");
+        }
+    }
+    return out;
+}
+
+void fault_director::collect() {
+    for (const auto& [id, server] : world_.servers()) {
+        note_lines(*server);
+    }
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/faults.hpp
@@ -0,0 +1,100 @@
+#ifndef LACEWINGBEAM_TEST_SOAK_FAULTS_HPP
+#define LACEWINGBEAM_TEST_SOAK_FAULTS_HPP
+
+#include "installation.hpp"
+#include "ledger.hpp"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+// Faults from outside the processes, drawn from a seed.
+namespace soak {
+
+struct soak_options {
+    std::uint64_t seed = 1;
+    std::size_t routers = 4;
+    std::size_t services = 3;
+    std::size_t servers = 3; // of each service
+    std::int64_t length_ms = 20000;
+    std::int64_t calm_ms = 8000; // without faults at the end
+};
+
+// One fault of the schedule, as drawn.
+struct fault {
+    std::int64_t at_ms = 0;
+    std::string kind;
+    std::size_t target = 0;
+    std::int64_t for_ms = 0;
+};
+
+// The same schedule for the same options.
+std::vector<fault> draw_schedule(const soak_options& options);
+
+// Starts the installation and carries out the schedule.
+class fault_director {
+public:
+    fault_director(testing_support::installation& world,
+                   const soak_options& options, ledger& seen);
+
+    // Starts store, servers and routers, and waits until all are ready.
+    void start_all();
+
+    // Does what is due.
+    void step();
+    bool is_over() const;
+
+    // Reads what servers wrote of arrivals and runs.
+    void collect();
+
+    // Bounds on what routers use, at the end: memory and probes.
+    std::vector<std::string> find_overuse();
+
+    std::int64_t started_ms() const { return started_ms_; }
+
+private:
+    using step_function = std::function<void()>;
+
+    void begin(const fault& one);
+    void begin_router_fault(const fault& one);
+    void begin_server_fault(const fault& one);
+    void begin_link_fault(const fault& one, const std::string& control);
+    void begin_store_fault(const fault& one);
+    void later(std::int64_t delay_ms, step_function step);
+    void disturb(std::size_t router, std::int64_t for_ms,
+                 const std::string& what);
+    void restart_when_ended(std::size_t router, std::size_t stop);
+    void publish_next();
+
+    // Runs the step once the store takes changes.
+    void when_store_takes(step_function step);
+    void take_away(std::size_t place, const std::string& id);
+    void replace(std::size_t place, const std::string& id);
+    std::string add_server(const std::string& service,
+                           const std::string& port = "0");
+    void note_lines(const testing_support::routed_server& server);
+
+    testing_support::installation& world_;
+    soak_options options_;
+    ledger& seen_;
+    std::vector<fault> schedule_;
+    std::size_t next_fault_ = 0;
+    std::multimap<std::int64_t, step_function> later_;
+    std::vector<std::unique_ptr<testing_support::proxy_process>> store_proxies_;
+    std::vector<std::string> servers_; // ids in place
+    std::size_t next_server_ = 0;
+    std::set<std::string> going_; // servers that leave or died
+    std::map<std::string, std::int64_t> added_ms_;
+    std::size_t moving_to_ = 0;
+    std::int64_t store_away_until_ms_ = 0;
+    std::int64_t started_ms_ = 0;
+};
+
+std::string service_name(std::size_t number);
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/test/soak/ledger.cpp
@@ -0,0 +1,269 @@
+#include "ledger.hpp"
+
+#include "installation.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace soak {
+
+namespace {
+
+// The bounds of the users' installations.
+constexpr std::int64_t edit_bound_ms = 2000;
+constexpr std::int64_t leave_bound_ms = 2000;
+constexpr std::int64_t contact_ms = 3000;
+constexpr std::int64_t time_limit_ms = 2000;
+constexpr std::int64_t answer_slack_ms = 500;
+constexpr double repeat_ratio = 0.2;
+constexpr double repeat_slack = 60;
+constexpr std::int64_t repeat_window_ms = 10000;
+
+// Requests that arrive in the last moments of a stop may be refused.
+constexpr std::int64_t stop_takes_ms = 3000;
+
+constexpr double served_when_calm = 0.98;
+
+std::string describe(const call_record& call) {
+    return call.id + " (" + call.prefix + ", router " +
+           std::to_string(call.router) + ", status " +
+           std::to_string(call.answer.status) + ", sent at " +
+           std::to_string(call.sent_ms) + ")";
+}
+
+bool is_promise(int status) {
+    const std::set<int> not_run{400, 404, 408, 421, 429, 503};
+    return not_run.contains(status);
+}
+
+} // namespace
+
+void ledger::add_call(call_record call) {
+    const std::lock_guard lock(mutex_);
+    calls_[call.id] = std::move(call);
+}
+
+void ledger::add_arrival(const std::string& id, const run_record& arrival) {
+    arrivals_[id].push_back(arrival);
+}
+
+void ledger::add_run(const std::string& id, const run_record& run) {
+    runs_[id].push_back(run);
+}
+
+std::size_t ledger::runs_of(const std::string& id) const {
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second.size();
+}
+
+bool ledger::is_calm(std::size_t router, std::int64_t from,
+                     std::int64_t to) const {
+    return std::none_of(
+        disturbances.begin(), disturbances.end(), [&](const disturbance& one) {
+            const bool here =
+                one.router == router || one.router == disturbance::all_routers;
+            return here && one.from_ms <= to && from <= one.to_ms;
+        });
+}
+
+std::vector<std::string> ledger::find_broken(bool timed) const {
+    report out;
+    check_answers(out);
+    check_runs(out);
+    check_repeats(out);
+    if (timed) {
+        check_prompt(out);
+        check_edits(out);
+        check_leaves(out);
+        check_stops(out);
+        check_recovery(out);
+    }
+    return out;
+}
+
+std::string ledger::summary() const {
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [id, call] : calls_) {
+        const auto& answer = call.answer;
+        if (answer.end == call_end::answered) {
+            ++counts["status " + std::to_string(answer.status)];
+        } else if (answer.end == call_end::closed) {
+            ++counts["closed"];
+        } else if (answer.end == call_end::silent) {
+            ++counts[call.patient ? "silent" : "gave up"];
+        } else {
+            ++counts["no connection"];
+        }
+    }
+    auto text = std::to_string(calls_.size()) + " calls, " +
+                std::to_string(runs_.size()) + " ran";
+    for (const auto& [name, count] : counts) {
+        text += "; " + name + ": " + std::to_string(count);
+    }
+    return text;
+}
+
+// A success is the whole answer of a server to this very request.
+void ledger::check_answers(report& out) const {
+    for (const auto& [id, call] : calls_) {
+        const auto& answer = call.answer;
+        if (answer.end != call_end::answered || answer.status != 200) {
+            continue;
+        }
+        const bool good =
+            answer.request_id == id &&
+            answer.body == testing_support::expected_body(id, call.bytes) &&
+            answer.stamp == testing_support::expected_stamp(id, call.bytes);
+        if (!good) {
+            out.push_back("answer: " + describe(call) + " got " +
+                          std::to_string(answer.body.size()) + " bytes of " +
+                          answer.request_id);
+        }
+    }
+}
+
+void ledger::check_runs(report& out) const {
+    for (const auto& [id, runs] : runs_) {
+        const auto found = calls_.find(id);
+        if (found == calls_.end()) {
+            out.push_back("unasked: " + id + " ran on " + runs[0].server);
+            continue;
+        }
+        const auto& call = found->second;
+        if (call.repeatable) {
+            continue;
+        }
+        if (runs.size() > 1) {
+            out.push_back("twice: " + describe(call) + " ran on " +
+                          runs[0].server + " and " + runs[1].server);
+        }
+        if (call.answer.end == call_end::answered &&
+            is_promise(call.answer.status)) {
+            out.push_back("not run: " + describe(call) + " ran on " +
+                          runs[0].server);
+        }
+    }
+}
+
+// Arrivals beyond the first of each request, in windows of the budget.
+void ledger::check_repeats(report& out) const {
+    std::map<std::string, std::vector<std::int64_t>> repeats;
+    std::map<std::string, std::vector<std::int64_t>> firsts;
+    for (const auto& [id, arrivals] : arrivals_) {
+        firsts[arrivals[0].service].push_back(arrivals[0].at_ms);
+        for (std::size_t i = 1; i < arrivals.size(); ++i) {
+            repeats[arrivals[i].service].push_back(arrivals[i].at_ms);
+        }
+    }
+    for (auto& [service, times] : repeats) {
+        std::sort(times.begin(), times.end());
+        const auto& requests = firsts[service];
+        for (std::size_t i = 0; i < times.size(); ++i) {
+            const auto end = times[i] + repeat_window_ms;
+            const auto in_window = [&](std::int64_t at) {
+                return at >= times[i] && at < end;
+            };
+            const auto seen =
+                std::count_if(times.begin(), times.end(), in_window);
+            const auto asked = static_cast<double>(
+                std::count_if(requests.begin(), requests.end(), in_window));
+            if (static_cast<double>(seen) >
+                repeat_ratio * asked + repeat_slack) {
+                out.push_back("repeats: " + std::to_string(seen) +
+                              " in 10 s at " + service);
+                break;
+            }
+        }
+    }
+}
+
+// The final answer comes by the time limit, whatever servers do.
+void ledger::check_prompt(report& out) const {
+    for (const auto& [id, call] : calls_) {
+        const bool late =
+            call.patient && call.answer.end == call_end::silent &&
+            call.ended_ms - call.sent_ms > time_limit_ms + answer_slack_ms;
+        if (late &&
+            is_calm(call.router, call.sent_ms - contact_ms, call.ended_ms)) {
+            out.push_back("silent: " + describe(call));
+        }
+    }
+}
+
+void ledger::check_edits(report& out) const {
+    for (const auto& [id, call] : calls_) {
+        const auto found = runs_.find(id);
+        if (call.prefix != "/moving/" || found == runs_.end()) {
+            continue;
+        }
+        for (std::size_t i = 0; i < edits.size(); ++i) {
+            const auto end =
+                i + 1 < edits.size() ? edits[i + 1].at_ms : INT64_MAX;
+            const bool bound = call.sent_ms > edits[i].at_ms + edit_bound_ms &&
+                               call.sent_ms < end;
+            if (!bound || !is_calm(call.router, edits[i].at_ms - contact_ms,
+                                   call.ended_ms)) {
+                continue;
+            }
+            const auto& run = found->second[0];
+            if (run.service != edits[i].service && run.at_ms < end) {
+                out.push_back("edit: " + describe(call) + " ran at " +
+                              run.service + ", " + edits[i].service +
+                              " was in force");
+            }
+        }
+    }
+}
+
+void ledger::check_leaves(report& out) const {
+    for (const auto& [id, runs] : runs_) {
+        const auto call = calls_.find(id);
+        for (const auto& run : runs) {
+            for (const auto& leave : leaves) {
+                const bool late =
+                    call != calls_.end() && run.server == leave.server &&
+                    call->second.sent_ms > leave.at_ms + leave_bound_ms;
+                if (late && is_calm(call->second.router,
+                                    leave.at_ms - contact_ms, run.at_ms)) {
+                    out.push_back("leaving: " + describe(call->second) +
+                                  " ran on " + run.server);
+                }
+            }
+        }
+    }
+}
+
+// A planned stop of a calm router cuts nothing that it has sent on.
+void ledger::check_stops(report& out) const {
+    for (const auto& stop : stops) {
+        for (const auto& [id, call] : calls_) {
+            const bool during =
+                call.router == stop.router && call.ended_ms >= stop.at_ms &&
+                call.sent_ms <= stop.at_ms + stop_takes_ms &&
+                call.ended_ms <= stop.ended_ms + answer_slack_ms;
+            if (during && call.answer.end == call_end::closed &&
+                runs_of(id) > 0 &&
+                is_calm(call.router, stop.at_ms - contact_ms, stop.ended_ms)) {
+                out.push_back("stop: " + describe(call) + " was cut");
+            }
+        }
+    }
+}
+
+void ledger::check_recovery(report& out) const {
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    for (const auto& [id, call] : calls_) {
+        if (call.sent_ms > calm_from_ms + contact_ms && call.patient) {
+            ++asked;
+            served += call.answer.status == 200 ? 1 : 0;
+        }
+    }
+    if (static_cast<double>(served) <
+        served_when_calm * static_cast<double>(asked)) {
+        out.push_back("recovery: " + std::to_string(served) + " of " +
+                      std::to_string(asked) + " served after the last fault");
+    }
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/ledger.hpp
@@ -0,0 +1,100 @@
+#ifndef LACEWINGBEAM_TEST_SOAK_LEDGER_HPP
+#define LACEWINGBEAM_TEST_SOAK_LEDGER_HPP
+
+#include "caller.hpp"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+// What callers and backend servers saw, and the promises checked against it.
+namespace soak {
+
+struct call_record {
+    std::string id;
+    std::string prefix; // of the route
+    bool repeatable = false;
+    bool patient = true; // waited beyond its time limit
+    std::size_t bytes = 0;
+    std::size_t router = 0;
+    std::int64_t sent_ms = 0;
+    std::int64_t ended_ms = 0;
+    call_answer answer;
+};
+
+struct run_record {
+    std::string server;
+    std::string service;
+    std::int64_t at_ms = 0;
+};
+
+// A time in which something was disturbed, at one router or at all.
+struct disturbance {
+    static constexpr std::size_t all_routers = ~std::size_t{0};
+
+    std::size_t router = all_routers;
+    std::int64_t from_ms = 0;
+    std::int64_t to_ms = 0;
+    std::string what;
+};
+
+struct edit_record {
+    std::string service; // that the moving route goes to
+    std::int64_t at_ms = 0;
+};
+
+struct leave_record {
+    std::string server;
+    std::int64_t at_ms = 0; // the store accepted it
+};
+
+struct stop_record {
+    std::size_t router = 0;
+    std::int64_t at_ms = 0;
+    std::int64_t ended_ms = 0;
+};
+
+// Shared by the callers' threads; the rest is written by one thread.
+class ledger {
+public:
+    void add_call(call_record call);
+    void add_arrival(const std::string& id, const run_record& arrival);
+    void add_run(const std::string& id, const run_record& run);
+
+    std::vector<disturbance> disturbances;
+    std::vector<edit_record> edits;
+    std::vector<leave_record> leaves;
+    std::vector<stop_record> stops;
+    std::int64_t calm_from_ms = 0; // no fault after it
+
+    // One line for each promise that was broken. `timed`: bounds in time,
+    // too, which need a machine that is not overloaded.
+    std::vector<std::string> find_broken(bool timed) const;
+
+    std::string summary() const;
+
+private:
+    using report = std::vector<std::string>;
+
+    bool is_calm(std::size_t router, std::int64_t from, std::int64_t to) const;
+    std::size_t runs_of(const std::string& id) const;
+    void check_answers(report& out) const;
+    void check_runs(report& out) const;
+    void check_repeats(report& out) const;
+    void check_prompt(report& out) const;
+    void check_edits(report& out) const;
+    void check_leaves(report& out) const;
+    void check_stops(report& out) const;
+    void check_recovery(report& out) const;
+
+    std::mutex mutex_;
+    std::map<std::string, call_record> calls_;
+    std::map<std::string, std::vector<run_record>> arrivals_;
+    std::map<std::string, std::vector<run_record>> runs_;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/test/soak/soak.cpp
@@ -0,0 +1,196 @@
+#include "faults.hpp"
+
+#include <atomic>
+#include <filesystem>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <thread>
+
+// Runs the real programs under faults from outside and checks what callers and
+// backend servers see. Exit code 1: a promise was broken.
+namespace {
+
+using namespace soak;
+using testing_support::installation;
+
+constexpr int exit_broken = 1;
+constexpr int exit_failed = 2;
+
+struct run_options {
+    soak_options soak;
+    std::size_t callers = 16;
+    bool timed = true;
+    std::string keep; // directory for the logs of a failed run
+};
+
+// A caller that keeps its connections open and asks again and again.
+class caller {
+public:
+    caller(installation& world, const soak_options& options, std::size_t number,
+           ledger& seen)
+        : world_(world), options_(options), number_(number), seen_(seen),
+          engine_(options.seed * 1000 + number) {}
+
+    void run(const std::atomic<bool>& over) {
+        while (!over) {
+            ask_once();
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(draw(most_pause_ms)));
+        }
+    }
+
+private:
+    static constexpr std::size_t most_pause_ms = 40;
+    static constexpr std::int64_t time_limit_ms = 2000;
+    static constexpr std::int64_t patience_ms = 3500;
+
+    std::size_t draw(std::size_t below) { return engine_() % below; }
+
+    void ask_once() {
+        if (!connection_.is_open()) {
+            router_ = draw(world_.routers().size());
+            if (!connection_.open(world_.routers()[router_]->callers)) {
+                return;
+            }
+        }
+        call_record call;
+        call.id = "c" + std::to_string(number_) + "-" + std::to_string(next_++);
+        call.router = router_;
+        const auto kind = draw(10);
+        const auto service = std::to_string(draw(options_.services));
+        call.repeatable = kind >= 4;
+        call.prefix = kind == 9         ? "/moving/"
+                      : call.repeatable ? "/safe" + service + "/"
+                                        : "/once" + service + "/";
+        const bool large = draw(8) == 0;
+        call.bytes = large ? 100000 + draw(100000) : 100 + draw(2000);
+        call.patient = draw(12) != 0;
+        call.sent_ms = now_ms();
+        call.answer = connection_.ask(
+            make_request(call),
+            call.patient ? patience_ms
+                         : static_cast<std::int64_t>(10 + draw(100)));
+        call.ended_ms = now_ms();
+        constexpr std::size_t calls_of_a_connection = 20;
+        if (draw(calls_of_a_connection) == 0) {
+            connection_.close();
+        }
+        seen_.add_call(std::move(call));
+    }
+
+    std::string make_request(const call_record& call) {
+        const std::string body = call.repeatable ? "" : "order " + call.id;
+        return std::string(call.repeatable ? "GET " : "POST ") + call.prefix +
+               "x?bytes=" + std::to_string(call.bytes) +
+               "&work=" + std::to_string(5 + draw(60)) +
+               " HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: " +
+               call.id + "\r\nX-Deadline-Ms: " + std::to_string(time_limit_ms) +
+               (call.repeatable
+                    ? ""
+                    : "\r\nContent-Length: " + std::to_string(body.size())) +
+               "\r\n\r\n" + body;
+    }
+
+    installation& world_;
+    soak_options options_;
+    std::size_t number_;
+    ledger& seen_;
+    std::mt19937_64 engine_;
+    caller_connection connection_;
+    std::size_t router_ = 0;
+    std::size_t next_ = 0;
+};
+
+void keep_files(const installation& world, const std::string& directory) {
+    std::filesystem::create_directories(directory);
+    std::filesystem::copy(
+        std::filesystem::path(world.files().file("x")).parent_path(), directory,
+        std::filesystem::copy_options::recursive |
+            std::filesystem::copy_options::overwrite_existing);
+    std::cout << "logs kept in " << directory << std::endl;
+}
+
+bool run_seed(const run_options& options) {
+    installation world;
+    ledger seen;
+    fault_director faults(world, options.soak, seen);
+    faults.start_all();
+    std::atomic<bool> over = false;
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < options.callers; ++i) {
+        threads.emplace_back(
+            [&, i] { caller(world, options.soak, i, seen).run(over); });
+    }
+    constexpr std::chrono::milliseconds step(20);
+    while (!faults.is_over()) {
+        faults.step();
+        std::this_thread::sleep_for(step);
+    }
+    over = true;
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    // What a server still does shows a moment later.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    faults.collect();
+    auto broken = seen.find_broken(options.timed);
+    const auto overuse = faults.find_overuse();
+    broken.insert(broken.end(), overuse.begin(), overuse.end());
+    std::cout << "seed " << options.soak.seed << ": " << seen.summary()
+              << std::endl;
+    for (const auto& line : broken) {
+        std::cout << "BROKEN " << line << std::endl;
+    }
+    if (!broken.empty() && !options.keep.empty()) {
+        keep_files(world,
+                   options.keep + "/seed-" + std::to_string(options.soak.seed));
+    }
+    return broken.empty();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine command("Faults against real processes, from a seed",
+                               ' ', "1");
+        TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "first seed", false, 1,
+                                            "NUMBER", command);
+        TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "seeds to run",
+                                             false, 1, "COUNT", command);
+        TCLAP::ValueArg<std::size_t> routers("r", "routers", "routers", false,
+                                             4, "COUNT", command);
+        TCLAP::ValueArg<std::size_t> servers("b", "servers",
+                                             "backend servers of each of the "
+                                             "three services",
+                                             false, 3, "COUNT", command);
+        TCLAP::ValueArg<std::size_t> callers("c", "callers", "callers", false,
+                                             16, "COUNT", command);
+        TCLAP::ValueArg<unsigned> length("t", "seconds", "length of a run",
+                                         false, 20, "SECONDS", command);
+        TCLAP::ValueArg<std::string> keep("k", "keep",
+                                          "directory for logs of failed runs",
+                                          false, "", "DIRECTORY", command);
+        TCLAP::SwitchArg untimed("u", "untimed", "check no bounds in time",
+                                 command);
+        command.parse(argc, argv);
+        run_options options;
+        options.soak.routers = routers.getValue();
+        options.soak.servers = servers.getValue();
+        options.soak.length_ms = std::int64_t{1000} * length.getValue();
+        options.callers = callers.getValue();
+        options.timed = !untimed.getValue();
+        options.keep = keep.getValue();
+        std::uint64_t failed = 0;
+        for (std::uint64_t i = 0; i < seeds.getValue(); ++i) {
+            options.soak.seed = seed.getValue() + i;
+            failed += run_seed(options) ? 0 : 1;
+        }
+        std::cout << failed << " of " << seeds.getValue() << " seeds failed"
+                  << std::endl;
+        return failed == 0 ? 0 : exit_broken;
+    } catch (const std::exception& problem) {
+        std::cerr << problem.what() << std::endl;
+        return exit_failed;
+    }
+}
--- a/test/users_platform/server.cpp
+++ b/test/users_platform/server.cpp
@@ -5,9 +5,9 @@
 #include <iostream>
 #include <tclap/CmdLine.h>
 
-// Stands in for a backend server of the users' platform. Each request that it
-// runs is a line "run ID MILLISECONDS" on standard output, which outlives the
-// process.
+// Stands in for a backend server of the users' platform. Each request that
+// comes or runs is a line "arrived ID MILLISECONDS" or "run ID MILLISECONDS" on
+// standard output, which outlives the process.
 namespace {
 
 using standin::json;
@@ -53,6 +53,12 @@
     return true;
 }
 
+std::int64_t now_ms() {
+    return std::chrono::duration_cast<milliseconds>(
+               steady::now().time_since_epoch())
+        .count();
+}
+
 // The whole answer to a request: its id over and over.
 std::string make_body(const std::string& id, std::size_t bytes) {
     std::string body;
@@ -150,7 +156,7 @@
         refuse(request, bad_request, "no id");
         return;
     }
-    std::cout << "arrived " << id << std::endl;
+    std::cout << "arrived " << id << " " << now_ms() << std::endl;
     if (how_.refuse_all || waiting_.size() >= how_.queue) {
         refuse(request, unavailable, "full");
         return;
@@ -183,9 +189,7 @@
 void backend_server::begin(const job_ptr& item) {
     item->running = true;
     ++running_;
-    const auto now = std::chrono::duration_cast<milliseconds>(
-        steady::now().time_since_epoch());
-    std::cout << "run " << item->request_id << " " << now.count() << std::endl;
+    std::cout << "run " << item->request_id << " " << now_ms() << std::endl;
     standin::after(milliseconds(item->work_ms),
                    [this, item] { complete(item); });
 }
