--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -18,7 +18,7 @@
     {"table import", "take over rows from a CSV file", run_table_import},
     {"drain", "take a backend server out of service", run_drain},
     {"status", "show all instances", run_status},
-    {"explain", "show how backend servers were chosen", run_explain},
+    {"explain", "show choices, or a request's story from logs", run_explain},
     {"check-settings", "check a settings file", run_check_settings},
     {"settings-reference", "print all settings", run_settings_reference},
 }};
--- a/src/tool/instance_commands.cpp
+++ b/src/tool/instance_commands.cpp
@@ -1,9 +1,11 @@
 #include "command_line.hpp"
 #include "commands.hpp"
 
+#include "log_story.hpp"
 #include "table_edit.hpp"
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -201,17 +203,11 @@
     return code;
 }
 
-int run_explain(const std::vector<std::string>& arguments) {
-    command_line line("Shows an instance's latest choices for a service "
-                      "and what they were made from.");
-    TCLAP::ValueArg<std::string> admin("a", "admin", "admin address", true, "",
-                                       "IP:port", line);
-    TCLAP::UnlabeledValueArg<std::string> service("service", "the service",
-                                                  true, "", "SERVICE", line);
-    line.read(arguments);
+namespace {
+
+int explain_choices(const std::string& admin, const std::string& service) {
     tool_session session("");
-    const auto body = get_json(session, admin.getValue(),
-                               "/admin/explain/" + service.getValue());
+    const auto body = get_json(session, admin, "/admin/explain/" + service);
     for (const auto& choice : body.at("choices")) {
         std::cout << choice.at("age_ms")
                   << " ms ago: " << choice.at("chosen").get<std::string>()
@@ -230,4 +226,63 @@
     return exit_good;
 }
 
+void read_log(std::istream& input, const std::string& name,
+              std::vector<log_line>& lines) {
+    for (std::string text; std::getline(input, text);) {
+        if (auto line = parse_log_line(text, name)) {
+            lines.push_back(std::move(*line));
+        }
+    }
+}
+
+int explain_request(const std::string& id,
+                    const std::vector<std::string>& files) {
+    std::vector<log_line> lines;
+    for (const auto& path : files) {
+        std::ifstream input(path);
+        if (!input) {
+            throw error("log \"" + path + "\" cannot be read");
+        }
+        read_log(input, path.substr(path.rfind('/') + 1), lines);
+    }
+    if (files.empty()) {
+        read_log(std::cin, "-", lines);
+    }
+    const auto story = find_story(lines, id);
+    if (story.empty()) {
+        throw error("request \"" + id + "\" is in none of " +
+                    std::to_string(lines.size()) + " log lines");
+    }
+    for (const auto& line : story) {
+        std::cout << line.time << "  " << line.instance << "  " << line.text
+                  << "\n";
+    }
+    return exit_good;
+}
+
+} // namespace
+
+int run_explain(const std::vector<std::string>& arguments) {
+    command_line line("Shows an instance's latest choices for a service and "
+                      "what they were made from (--admin), or one request's "
+                      "story from logs (--request).");
+    TCLAP::ValueArg<std::string> admin("a", "admin", "admin address", false, "",
+                                       "IP:port");
+    TCLAP::ValueArg<std::string> request("r", "request", "the request's id",
+                                         false, "", "ID");
+    line.xorAdd(admin, request);
+    TCLAP::UnlabeledMultiArg<std::string> names(
+        "names",
+        "the service; with --request, files with logs, else standard input",
+        false, "SERVICE or FILE", line);
+    line.read(arguments);
+    if (request.isSet()) {
+        return explain_request(request.getValue(), names.getValue());
+    }
+    if (names.getValue().size() != 1) {
+        throw error("--admin needs one service");
+    }
+    return explain_choices(admin.getValue(), names.getValue().front());
+}
+
 } // namespace lacewingbeam
--- /dev/null
+++ b/test/unit/log_story_test.cpp
@@ -0,0 +1,74 @@
+#include "tool/log_story.hpp"
+
+#include <criterion/criterion.h>
+
+// One request's story out of several logs.
+using namespace lacewingbeam;
+
+namespace {
+
+std::vector<log_line> read(const std::vector<std::string>& texts,
+                           const std::string& instance) {
+    std::vector<log_line> lines;
+    for (const auto& text : texts) {
+        if (auto line = parse_log_line(text, instance)) {
+            lines.push_back(*line);
+        }
+    }
+    return lines;
+}
+
+} // namespace
+
+Test(log_story, line_is_read_with_and_without_a_collectors_words) {
+    const auto plain =
+        parse_log_line("2026-12-04T06:23:00.684 INFO LB1602 attempt_failed "
+                       "id=a detail=\"status 421\" ms=2",
+                       "router0");
+    cr_assert(plain.has_value());
+    cr_assert_eq(plain->instance, "router0");
+    cr_assert_eq(plain->number, "LB1602");
+    cr_assert_eq(plain->fields.at("detail"), "status 421");
+    const auto collected = parse_log_line(
+        "  2.25 edge-1 2026-12-04T06:23:00.684 INFO LB1002 stopping requests=0",
+        "x");
+    cr_assert_eq(collected->instance, "edge-1");
+    cr_assert_not(parse_log_line("terminate called", "x").has_value());
+}
+
+Test(log_story, request_over_two_instances_comes_in_order_with_beliefs) {
+    auto lines = read({"2026-12-04T06:00:02.000 INFO LB1603 request_finished "
+                       "id=a status=503 reason=draining",
+                       "2026-12-04T06:00:01.000 INFO LB1601 request_placed "
+                       "id=a server=s1",
+                       "2026-12-04T06:00:00.500 INFO LB1101 table_changed "
+                       "version=7 changed=s9,s1",
+                       "2026-12-04T06:00:00.400 INFO LB1101 table_changed "
+                       "version=6 changed=s2",
+                       "2026-12-04T06:00:09.000 INFO LB1101 table_changed "
+                       "version=8 changed=s1",
+                       "2026-12-04T06:00:01.500 INFO LB1601 request_placed "
+                       "id=b server=s1"},
+                      "one");
+    const auto other = read({"2026-12-04T06:00:01.700 INFO LB1604 caller_gone "
+                             "id=a after_ms=3",
+                             "2026-12-04T06:00:01.100 INFO LB1103 "
+                             "platform_failed table=servers"},
+                            "two");
+    lines.insert(lines.end(), other.begin(), other.end());
+    const auto story = find_story(lines, "a");
+    std::vector<std::string> numbers;
+    for (const auto& line : story) {
+        numbers.push_back(line.number);
+    }
+    const std::vector<std::string> expected{"LB1101", "LB1601", "LB1103",
+                                            "LB1604", "LB1603"};
+    cr_assert(numbers == expected);
+}
+
+Test(log_story, unknown_request_has_no_story) {
+    const auto lines = read({"2026-12-04T06:00:02.000 INFO LB1603 "
+                             "request_finished id=a status=200"},
+                            "one");
+    cr_assert(find_story(lines, "b").empty());
+}
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -39,7 +39,8 @@
 // The store holds one backend server, and instances that read it.
 class installation {
 public:
-    installation(std::size_t count, double loss)
+    installation(std::size_t count, double loss,
+                 duration seed_patience = milliseconds(1500))
         : lost_(loss), engine_(5), now(start) {
         for (std::size_t i = 0; i < count; ++i) {
             follower_options options;
@@ -49,7 +50,7 @@
             options.own.caller_address = options.own.peer_address;
             options.own.admin_address = options.own.peer_address;
             options.seed = i + 1;
-            options.seed_patience = milliseconds(1500);
+            options.seed_patience = seed_patience;
             nodes_.push_back(
                 std::make_unique<directory_follower>(options, now));
             const std::vector<std::string> seeds{address_of(0), address_of(1),
@@ -351,6 +352,18 @@
     cr_assert_eq(world.with_newest_routes(), 40);
 }
 
+// All lose power and come back: nobody knows a reader yet. Each may read both
+// tables twice.
+Test(spread, instances_that_start_together_read_the_store_little) {
+    installation world(120, 0.01, milliseconds(30));
+    world.run_until(start + seconds(5));
+    cr_assert_eq(world.with_server(), 120);
+    cr_assert_leq(world.store_reads(), 4 * 120, "%zu", world.store_reads());
+    world.drain_server();
+    world.run_until(world.now + seconds(2));
+    cr_assert_eq(world.with_server(), 0);
+}
+
 Test(spread, small_installation_has_one_reader) {
     installation world(13, 0);
     world.run_until(start + seconds(10));
