Say when another backend server answers at an address

Cause: a request for which only an address used again was known ended as queue_full with no line that names the server: the probe finds another id and the request is never sent, so no 421 comes. Change: LB1302 names the server and who answers in its place. Test: router_process::address_used_by_another_server_runs_nothing.

--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 29> catalogue{{
+constexpr std::array<event_description, 30> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance listens on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -54,6 +54,8 @@
      "A message on the peer port was not authentic or not readable."},
     {event_number::server_leaving, log_level::info, "server_leaving",
      "A backend server is leaving and gets no new work."},
+    {event_number::server_replaced, log_level::warning, "server_replaced",
+     "Another backend server answers at this one's address; it gets no work."},
     {event_number::call_may_have_run, log_level::warning, "call_may_have_run",
      "A call ended without its answer; it may have run."},
     {event_number::call_refused, log_level::debug, "call_refused",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -34,6 +34,7 @@
     peer_gone = 1203,
     peer_message_dropped = 1204,
     server_leaving = 1301,
+    server_replaced = 1302,
     call_may_have_run = 1401,
     call_refused = 1402,
     answer_broken_off = 1403,
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -303,8 +303,12 @@
     auto& probe = found->second;
     const auto server = find_header(head.headers, platform_.headers.server_id);
     const auto echoed = find_header(head.headers, platform_.headers.request_id);
-    if (!server || *server != probe.server ||
-        (echoed && *echoed != probe.request_id)) {
+    const bool own_answer = !echoed || *echoed == probe.request_id;
+    if (own_answer && server && *server != probe.server) {
+        log_event(event_number::server_replaced,
+                  {{"server", probe.server}, {"told", std::string(*server)}});
+    }
+    if (!own_answer || !server || *server != probe.server) {
         pool_.cancel(probe.exchange);
         loop_.defer([this, id] { end_probe(id); });
         return;
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -139,6 +139,9 @@
     other.read_line();
     cr_assert_eq(ask(order("/once/x", "a")).status, 503);
     cr_assert(other.take_lines().empty());
+    const auto log = running->log_of(router());
+    cr_assert_neq(log.find("LB1302 server_replaced server=s1 told=s9"),
+                  log.npos, "%s", log.c_str());
 }
 
 Test(router_process, edit_and_drain_are_in_force_within_two_seconds) {
