--- a/src/adapters/connection_pool.hpp
+++ b/src/adapters/connection_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "event_loop.hpp"
 #include "http_types.hpp"
+#include "lacewingbeam/verdict.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -10,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +34,11 @@
     bool bytes_sent = false; // a byte of the request may have arrived
 };
 
+// Why a request with such a failure may have run; nothing if none of its bytes
+// left.
+std::optional<may_have_run_reason>
+find_lost_reason(const exchange_failure& failure);
+
 // Called in the order head, body..., then end or failed, once each.
 struct exchange_events {
     sigc::slot<void(const http_answer_head&)> head;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -15,19 +15,10 @@
 constexpr std::size_t spool_limit = 16384;
 
 attempt_result result_of(const exchange_failure& failure) {
-    if (!failure.bytes_sent) {
-        return attempt_refused{not_run_reason::connect_failed};
-    }
-    switch (failure.problem) {
-    case exchange_problem::malformed:
-        return attempt_lost{may_have_run_reason::answer_malformed};
-    case exchange_problem::truncated:
-        return attempt_lost{may_have_run_reason::answer_truncated};
-    case exchange_problem::stalled:
-        return attempt_lost{may_have_run_reason::answer_timeout};
-    default:
-        return attempt_lost{may_have_run_reason::connection_lost};
+    if (const auto lost = find_lost_reason(failure)) {
+        return attempt_lost{*lost};
     }
+    return attempt_refused{not_run_reason::connect_failed};
 }
 
 std::string_view result_name(const attempt_result& result) {
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -24,19 +24,10 @@
 constexpr duration proven_alive_repeatable = std::chrono::seconds(7);
 
 attempt_end result_of(const exchange_failure& failure) {
-    if (!failure.bytes_sent) {
-        return attempt_not_run{not_run_reason::connect_failed};
-    }
-    switch (failure.problem) {
-    case exchange_problem::malformed:
-        return attempt_unknown{may_have_run_reason::answer_malformed};
-    case exchange_problem::truncated:
-        return attempt_unknown{may_have_run_reason::answer_truncated};
-    case exchange_problem::stalled:
-        return attempt_unknown{may_have_run_reason::answer_timeout};
-    default:
-        return attempt_unknown{may_have_run_reason::connection_lost};
+    if (const auto lost = find_lost_reason(failure)) {
+        return attempt_unknown{*lost};
     }
+    return attempt_not_run{not_run_reason::connect_failed};
 }
 
 struct detail_visitor {
