Ask two servers first, and more only if neither is good

Change: two probes; if neither answer is within a tenth of the best possible time, two more, of other servers.

--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -108,9 +108,11 @@
 // The better of two random servers by own requests in flight.
 struct place_by_two_choices {};
 // The server with the lowest expected time by its own word, asked for it
-// just before.
+// just before. The first few answers suffice if one of them is about as good
+// as can be; more are asked only else.
 struct place_by_expected_time {
     unsigned probes = 4;
+    unsigned first_probes = 2;
     duration probe_timeout = std::chrono::milliseconds(12);
 };
 using placing_policy =
@@ -213,6 +215,7 @@
         unsigned priority = 0;
         bool hedged = false;
         bool waiting = false; // for a slot
+        unsigned probed = 0;  // servers asked in this round
         std::vector<std::string> tried;
         std::vector<probe_id> pending;
         std::vector<attempt_id> running;
@@ -252,8 +255,11 @@
                      time_point now);
     void wait(request_entry& request, time_point now, actions& out);
     void begin_round(request_entry& request, time_point now, actions& out);
-    void send_probes(request_entry& request, unsigned count, duration timeout,
-                     time_point now, actions& out);
+    void send_probes(request_entry& request,
+                     const place_by_expected_time& policy, time_point now,
+                     actions& out);
+    void probe_more_or_decide(request_entry& request, time_point now,
+                              actions& out);
     void probe_settled(probe_id id, time_point now, actions& out);
     bool good_enough(const request_entry& request, const std::string& server,
                      time_point now);
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -190,8 +190,8 @@
             self.decide(request, now, out);
         }
         void operator()(const place_by_expected_time& policy) const {
-            self.send_probes(request, policy.probes, policy.probe_timeout, now,
-                             out);
+            request.probed = 0;
+            self.send_probes(request, policy, now, out);
         }
     };
     std::visit(visitor{*this, request, now, out}, options_.policy);
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -47,12 +47,17 @@
     return *entry.probes;
 }
 
-void request_router::send_probes(request_entry& request, unsigned count,
-                                 duration timeout, time_point now,
-                                 actions& out) {
+void request_router::send_probes(request_entry& request,
+                                 const place_by_expected_time& policy,
+                                 time_point now, actions& out) {
+    const bool first = request.probed == 0;
+    const auto count = first ? std::min(policy.first_probes, policy.probes)
+                             : policy.probes - request.probed;
     auto servers = candidates(request);
     std::erase_if(servers, [&](const known_server* server) {
-        return now < entry_of(server->info.id).silent_until;
+        const auto& entry = entry_of(server->info.id);
+        const bool told = now - entry.load_at < policy.probe_timeout;
+        return now < entry.silent_until || (!first && told);
     });
     request.pending.clear();
     unsigned sent = 0;
@@ -73,16 +78,17 @@
         const auto id = probe_id{next_probe_++};
         probes_[id] = {request.id, server.info.id};
         request.pending.push_back(id);
-        out.emplace_back(probe_order{id, server.info.id, server.info.address,
-                                     request.health_path,
-                                     connection_share(request), timeout});
+        out.emplace_back(probe_order{
+            id, server.info.id, server.info.address, request.health_path,
+            connection_share(request), policy.probe_timeout});
         ++sent;
     }
     if (sent == 0) {
         decide(request, now, out);
         return;
     }
-    request.decide_at = now + timeout;
+    request.probed += sent;
+    request.decide_at = now + policy.probe_timeout;
 }
 
 request_router::actions
@@ -134,7 +140,19 @@
     if (std::erase(request.pending, id) == 0 || !request.decide_at) {
         return;
     }
-    if (request.pending.empty() || good_enough(request, probe.server, now)) {
+    if (good_enough(request, probe.server, now)) {
+        decide(request, now, out);
+    } else if (request.pending.empty()) {
+        probe_more_or_decide(request, now, out);
+    }
+}
+
+void request_router::probe_more_or_decide(request_entry& request,
+                                          time_point now, actions& out) {
+    const auto* policy = std::get_if<place_by_expected_time>(&options_.policy);
+    if (policy != nullptr && request.probed < policy->probes) {
+        send_probes(request, *policy, now, out);
+    } else {
         decide(request, now, out);
     }
 }
--- a/src/router/router_terms.cpp
+++ b/src/router/router_terms.cpp
@@ -16,6 +16,7 @@
         return place_by_two_choices{};
     }
     return place_by_expected_time{static_cast<unsigned>(values.probes),
+                                  static_cast<unsigned>(values.first_probes),
                                   milliseconds(values.probe_timeout)};
 }
 
