--- a/include/lacewingbeam/row_delta.hpp
+++ b/include/lacewingbeam/row_delta.hpp
@@ -25,13 +25,13 @@
 // Both rows hold their cells in order of name.
 row_delta find_delta(const raw_row& before, const raw_row& after);
 
-// The row that `change` made of `before`, whose version must be the change's
+// The row that `delta` makes of `before`, whose version must be the delta's
 // base version.
-raw_row apply_delta(const raw_row& before, const row_delta& change);
+raw_row apply_delta(const raw_row& before, const row_delta& delta);
 
 // Bytes of the texts, about what a message with them takes.
 std::size_t size_of(const raw_row& row);
-std::size_t size_of(const row_delta& change);
+std::size_t size_of(const row_delta& delta);
 
 } // namespace lacewingbeam
 
--- a/src/decisions/knowledge/row_delta.cpp
+++ b/src/decisions/knowledge/row_delta.cpp
@@ -24,40 +24,40 @@
 } // namespace
 
 row_delta find_delta(const raw_row& before, const raw_row& after) {
-    row_delta change{after.key, before.version, after.version, {}, {}};
+    row_delta delta{after.key, before.version, after.version, {}, {}};
     auto old = before.cells.begin();
     for (const auto& item : after.cells) {
         for (; old != before.cells.end() && old->name < item.name; ++old) {
-            change.removed.push_back(old->name);
+            delta.removed.push_back(old->name);
         }
         if (old == before.cells.end() || old->name != item.name) {
-            change.cells.push_back(item);
+            delta.cells.push_back(item);
             continue;
         }
         if (*old != item) {
-            change.cells.push_back(item);
+            delta.cells.push_back(item);
         }
         ++old;
     }
     for (; old != before.cells.end(); ++old) {
-        change.removed.push_back(old->name);
+        delta.removed.push_back(old->name);
     }
-    return change;
+    return delta;
 }
 
-raw_row apply_delta(const raw_row& before, const row_delta& change) {
+raw_row apply_delta(const raw_row& before, const row_delta& delta) {
     std::set<std::string_view> replaced;
-    for (const auto& item : change.cells) {
+    for (const auto& item : delta.cells) {
         replaced.insert(item.name);
     }
-    replaced.insert(change.removed.begin(), change.removed.end());
-    raw_row after{before.key, change.version, false, {}};
+    replaced.insert(delta.removed.begin(), delta.removed.end());
+    raw_row after{before.key, delta.version, false, {}};
     std::copy_if(before.cells.begin(), before.cells.end(),
                  std::back_inserter(after.cells), [&](const cell& item) {
                      return !replaced.contains(item.name);
                  });
-    after.cells.insert(after.cells.end(), change.cells.begin(),
-                       change.cells.end());
+    after.cells.insert(after.cells.end(), delta.cells.begin(),
+                       delta.cells.end());
     std::sort(after.cells.begin(), after.cells.end(), by_name);
     return after;
 }
@@ -66,9 +66,9 @@
     return row.key.size() + size_of(row.cells);
 }
 
-std::size_t size_of(const row_delta& change) {
-    std::size_t size = change.key.size() + size_of(change.cells);
-    for (const auto& name : change.removed) {
+std::size_t size_of(const row_delta& delta) {
+    std::size_t size = delta.key.size() + size_of(delta.cells);
+    for (const auto& name : delta.removed) {
         size += name.size();
     }
     return size;
