Wake the soak's store before the next step that needs it

Ruled out: the store (its log is empty), the time of the pause. Change: due ends go first, and a flag, not a time, says that the store is away.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -126,7 +126,7 @@
 
 void fault_director::when_store_takes(step_function step) {
     constexpr std::int64_t look_ms = 100;
-    if (now_ms() > store_away_until_ms_) {
+    if (!store_away_) {
         step();
         return;
     }
@@ -144,16 +144,20 @@
 }
 
 void fault_director::step() {
-    const auto now = now_ms();
+    run_later_steps();
     while (next_fault_ < schedule_.size() &&
-           started_ms_ + schedule_[next_fault_].at_ms <= now) {
+           started_ms_ + schedule_[next_fault_].at_ms <= now_ms()) {
         begin(schedule_[next_fault_++]);
+        run_later_steps(); // a paused store is woken before the next edit
     }
-    while (!later_.empty() && later_.begin()->first <= now) {
+    collect();
+}
+
+void fault_director::run_later_steps() {
+    while (!later_.empty() && later_.begin()->first <= now_ms()) {
         const auto due = later_.extract(later_.begin());
         due.mapped()();
     }
-    collect();
 }
 
 bool fault_director::is_over() const {
@@ -336,26 +340,30 @@
 void fault_director::begin_store_fault(const fault& one) {
     const auto store = world_.store();
     if (one.kind == "store_refuse" || one.kind == "store_pause") {
-        if (now_ms() <= store_away_until_ms_) {
+        if (store_away_) {
             return; // one at a time
         }
-        store_away_until_ms_ = now_ms() + one.for_ms + 100;
+        store_away_ = true;
     }
     disturb(disturbance::all_routers, one.for_ms, one.kind);
     if (one.kind == "store_refuse") {
         const int status = one.for_ms % 2 == 0 ? 503 : 429;
         testing_support::installation::control(store,
                                                {{"refuse_status", status}});
-        later(one.for_ms, [store] {
+        later(one.for_ms, [this, store] {
             testing_support::installation::control(store,
                                                    {{"refuse_status", 0}});
+            store_away_ = false;
         });
     } else if (one.kind == "store_forget") {
         testing_support::installation::control(store,
                                                {{"forget_history", true}});
     } else if (one.kind == "store_pause") {
         world_.store_process().signal(SIGSTOP);
-        later(one.for_ms, [this] { world_.store_process().signal(SIGCONT); });
+        later(one.for_ms, [this] {
+            world_.store_process().signal(SIGCONT);
+            store_away_ = false;
+        });
     } else {
         const auto& proxy = store_proxies_[one.target % store_proxies_.size()];
         begin_link_fault(one, proxy->control);
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -68,6 +68,7 @@
                  const std::string& what);
     void restart_when_ended(std::size_t router, std::size_t stop);
     void publish_next();
+    void run_later_steps();
 
     // Runs the step once the store takes changes.
     void when_store_takes(step_function step);
@@ -89,7 +90,7 @@
     std::set<std::string> going_; // servers that leave or died
     std::map<std::string, std::int64_t> added_ms_;
     std::size_t moving_to_ = 0;
-    std::int64_t store_away_until_ms_ = 0;
+    bool store_away_ = false;
     std::int64_t started_ms_ = 0;
 };
 
