--- a/src/tool/log_story.cpp
+++ b/src/tool/log_story.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
-#include <regex>
 #include <set>
 
 namespace lacewingbeam {
@@ -15,20 +14,30 @@
                                                    "LB1007", "LB1103", "LB1104",
                                                    "LB1107", "LB1108"};
 
-// Finds time, level, number, name and the rest, wherever the time stands.
-const std::regex& line_form() {
-    static const std::regex form(
-        R"((\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+) [A-Z]+ (LB\d+) (\S+) ?(.*)$)");
-    return form;
+constexpr std::string_view number_start = " LB";
+
+// The word that ends before `end`.
+std::string_view word_before(std::string_view text, std::size_t end) {
+    const auto start = text.rfind(' ', end == 0 ? 0 : end - 1);
+    return start == text.npos ? text.substr(0, end)
+                              : text.substr(start + 1, end - start - 1);
 }
 
-std::map<std::string, std::string> read_fields(const std::string& text) {
-    static const std::regex field(R"re((\w+)=("[^"]*"|\S*))re");
+// Fields as name=value; a value with spaces is quoted.
+std::map<std::string, std::string> read_fields(std::string_view text) {
     std::map<std::string, std::string> fields;
-    for (std::sregex_iterator at(text.begin(), text.end(), field), end;
-         at != end; ++at) {
-        fields[(*at)[1]] = boost::algorithm::trim_copy_if(
-            (*at)[2].str(), [](char c) { return c == '"'; });
+    while (!text.empty()) {
+        const auto equals = text.find('=');
+        if (equals == text.npos) {
+            break;
+        }
+        const auto name = word_before(text, equals);
+        text.remove_prefix(equals + 1);
+        const bool quoted = text.starts_with('"');
+        text.remove_prefix(quoted ? 1 : 0);
+        const auto end = std::min(text.size(), text.find(quoted ? '"' : ' '));
+        fields[std::string(name)] = text.substr(0, end);
+        text.remove_prefix(std::min(text.size(), end + 1));
     }
     return fields;
 }
@@ -50,20 +59,32 @@
 
 std::optional<log_line> parse_log_line(std::string_view line,
                                        std::string_view instance) {
-    const std::string text(line);
-    std::smatch found;
-    if (!std::regex_search(text, found, line_form())) {
+    constexpr std::size_t date_size = 10; // "2026-12-04", then "T"
+    const auto number = line.find(number_start);
+    if (number == line.npos) {
+        return std::nullopt;
+    }
+    const auto level = word_before(line, number);
+    const auto level_at = number - level.size();
+    const auto time =
+        level_at == 0 ? std::string_view() : word_before(line, level_at - 1);
+    if (time.size() <= date_size || time[date_size] != 'T') {
         return std::nullopt;
     }
     log_line out;
-    auto before = boost::algorithm::trim_copy(found.prefix().str());
-    before = before.substr(before.rfind(' ') + 1);
-    out.instance = before.empty() ? std::string(instance) : before;
-    out.time = found[1];
-    out.number = found[2];
-    out.name = found[3];
-    out.fields = read_fields(found[4]);
-    out.text = out.number + " " + out.name + " " + found[4].str();
+    const auto time_at = static_cast<std::size_t>(time.data() - line.data());
+    const auto before =
+        time_at == 0 ? std::string_view() : word_before(line, time_at - 1);
+    out.instance = before.empty() ? instance : before;
+    out.time = time;
+    out.text = line.substr(number + 1);
+    std::vector<std::string> words;
+    boost::algorithm::split(words, out.text, [](char c) { return c == ' '; });
+    out.number = words[0];
+    out.name = words.size() > 1 ? words[1] : "";
+    const auto head = out.number.size() + 1 + out.name.size();
+    out.fields = read_fields(
+        std::string_view(out.text).substr(std::min(head, out.text.size())));
     return out;
 }
 
