Hold the ports of the tests' routers until the end

Cause: router_process::caller_that_leaves_ends_the_work failed once in its set-up, twelve tests at a time: a port that was found free could be taken by another test before the router listened on it. Ruled out: a slow start (eleven others were ready within a second). Change: the socket that found the port keeps it bound.

--- a/test/users_platform/installation.cpp
+++ b/test/users_platform/installation.cpp
@@ -20,9 +20,11 @@
     return out;
 }
 
-// A router is known by its addresses, so they are chosen before it starts.
-std::string free_address() {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+// A router is known by its addresses, so they are chosen before it starts. The
+// socket keeps the port from others; the router may listen on it all the same.
+std::string hold_address(std::vector<int>& held) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    held.push_back(fd);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -30,10 +32,11 @@
     const bool good =
         bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
         getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-    close(fd);
     if (!good) {
         throw std::runtime_error("no free port");
     }
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
@@ -90,6 +93,12 @@
     store_ = last_word(store_process_->read_line());
 }
 
+installation::~installation() {
+    for (const int fd : held_ports_) {
+        close(fd);
+    }
+}
+
 json installation::control(const std::string& address, const json& settings) {
     return ask({address, "POST", "/control", {}, settings.dump()}).body_json();
 }
@@ -169,10 +178,10 @@
 router_instance& installation::add_router(const std::string& store) {
     auto made = std::make_unique<router_instance>();
     made->name = "router" + std::to_string(routers_.size());
-    made->callers = free_address();
-    made->readiness = free_address();
-    made->peers = free_address();
-    made->metrics = free_address();
+    made->callers = hold_address(held_ports_);
+    made->readiness = hold_address(held_ports_);
+    made->peers = hold_address(held_ports_);
+    made->metrics = hold_address(held_ports_);
     made->store = store.empty() ? store_ : store;
     routers_.push_back(std::move(made));
     return *routers_.back();
--- a/test/users_platform/installation.hpp
+++ b/test/users_platform/installation.hpp
@@ -58,6 +58,9 @@
 public:
     // Starts the store.
     installation();
+    ~installation();
+    installation(const installation&) = delete;
+    installation& operator=(const installation&) = delete;
 
     routed_server& add_server(const std::string& service, const std::string& id,
                               const server_options& options = {});
@@ -101,6 +104,7 @@
     std::string store_;
     std::map<std::string, std::unique_ptr<routed_server>> servers_;
     std::vector<std::unique_ptr<router_instance>> routers_;
+    std::vector<int> held_ports_;
     unsigned version_ = 0;
     std::uint64_t sequence_ = 0;
 };
