--- a/bench/load_plan.cpp
+++ b/bench/load_plan.cpp
@@ -1,9 +1,9 @@
 #include "load_plan.hpp"
+#include "lacewingbeam/number.hpp"
 
 #include <boost/algorithm/string.hpp>
 #include <boost/random/discrete_distribution.hpp>
 #include <boost/random/exponential_distribution.hpp>
-#include <charconv>
 
 namespace lacewingbeam::bench {
 
@@ -18,13 +18,11 @@
 }
 
 double parse_number(const std::string& text) {
-    double value = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end || value < 0) {
+    const auto value = to_number<double>(text);
+    if (!value || *value < 0) {
         throw error("\"" + text + "\" is not a number");
     }
-    return value;
+    return *value;
 }
 
 duration to_duration(double seconds) {
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -1,9 +1,9 @@
 #include "connection_pool.hpp"
 
 #include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/number.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -29,16 +29,6 @@
            method != EVHTTP_REQ_HEAD;
 }
 
-std::optional<std::size_t> parse_length(std::string_view text) {
-    std::size_t value = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 void harden_socket(int fd) {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -363,7 +353,7 @@
     const auto length = find_header(head.headers, "Content-Length");
     const auto coding = find_header(head.headers, "Transfer-Encoding");
     if (length) {
-        head.content_length = parse_length(*length);
+        head.content_length = to_number<std::size_t>(*length);
     }
     if (!may_have_body(head.status, value->method)) {
         head.content_length = 0;
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -1,11 +1,11 @@
 #include "settings_file.hpp"
 
 #include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/number.hpp"
 #include "settings_schema.hpp"
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
-#include <charconv>
 #include <fstream>
 #include <ini.h>
 #include <iomanip>
@@ -68,7 +68,7 @@
     return notes->value(name, std::string());
 }
 
-std::int32_t to_number(const std::string& text) {
+std::int32_t to_integer(const std::string& text) {
     return text.empty() ? 0 : std::stoi(text);
 }
 
@@ -214,12 +214,9 @@
 
 template <class Number>
 std::string check_number(const setting_rule& rule, const std::string& value) {
-    Number number{};
-    const char* end = value.data() + value.size();
-    const auto result = std::from_chars(value.data(), end, number);
-    const auto read = static_cast<double>(number);
-    if (result.ec != std::errc{} || result.ptr != end ||
-        !(read >= rule.low && read <= rule.high)) {
+    const auto number = to_number<Number>(value);
+    const auto read = static_cast<double>(number.value_or(Number{}));
+    if (!number || !(read >= rule.low && read <= rule.high)) {
         return "allowed is " + range_text(rule);
     }
     return {};
@@ -367,7 +364,7 @@
             const auto& value = item == nullptr ? rule.fallback : item->value;
             if (rule.is_number) {
                 protocol.writeFieldBegin("", T_I32, rule.field);
-                protocol.writeI32(to_number(value));
+                protocol.writeI32(to_integer(value));
             } else if (rule.is_fraction) {
                 protocol.writeFieldBegin("", T_DOUBLE, rule.field);
                 protocol.writeDouble(to_fraction(value));
--- a/src/decisions/endpoint.cpp
+++ b/src/decisions/endpoint.cpp
@@ -1,7 +1,7 @@
 #include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/number.hpp"
 
 #include <arpa/inet.h>
-#include <charconv>
 
 namespace lacewingbeam {
 
@@ -26,14 +26,11 @@
     if (has_colon != bracketed || !is_ip_address(ip)) {
         return std::nullopt;
     }
-    std::uint16_t port = 0;
-    const char* first = text.data() + colon + 1;
-    const char* last = text.data() + text.size();
-    const auto result = std::from_chars(first, last, port);
-    if (result.ec != std::errc{} || result.ptr != last || port == 0) {
+    const auto port = to_number<std::uint16_t>(text.substr(colon + 1));
+    if (!port || *port == 0) {
         return std::nullopt;
     }
-    return endpoint{std::string(ip), port};
+    return endpoint{std::string(ip), *port};
 }
 
 std::string to_string(const endpoint& value) {
--- a/src/decisions/knowledge/directory.cpp
+++ b/src/decisions/knowledge/directory.cpp
@@ -1,8 +1,7 @@
 #include "lacewingbeam/directory.hpp"
 
 #include "lacewingbeam/endpoint.hpp"
-
-#include <charconv>
+#include "lacewingbeam/number.hpp"
 
 namespace lacewingbeam {
 
@@ -18,14 +17,11 @@
 
 template <class Number>
 Number read_number(const raw_row& row, std::string_view name) {
-    const auto text = row.value_of(name);
-    Number value{};
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end) {
+    const auto value = to_number<Number>(row.value_of(name));
+    if (!value) {
         reject(row, name);
     }
-    return value;
+    return *value;
 }
 
 // Leaves out what changes while a server stays as it is.
--- a/src/decisions/knowledge/routing.cpp
+++ b/src/decisions/knowledge/routing.cpp
@@ -1,8 +1,8 @@
 #include "lacewingbeam/routing.hpp"
+#include "lacewingbeam/number.hpp"
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
-#include <charconv>
 
 namespace lacewingbeam {
 
@@ -51,19 +51,17 @@
 
     template <class Number>
     Number number(const std::string& name) const {
-        return to_number<Number>(name, text(name));
+        return checked<Number>(name, text(name));
     }
 
     template <class Number>
-    Number to_number(const std::string& name, std::string_view text) const {
-        Number value{};
-        const char* end = text.data() + text.size();
-        const auto result = std::from_chars(text.data(), end, value);
-        if (result.ec != std::errc{} || result.ptr != end) {
+    Number checked(const std::string& name, std::string_view text) const {
+        const auto value = to_number<Number>(text);
+        if (!value) {
             reject(cell_, "field \"" + name + "\": \"" + std::string(text) +
                               "\" is not a number");
         }
-        return value;
+        return *value;
     }
 
     duration time(const std::string& name) const {
@@ -95,7 +93,7 @@
                                 ? std::string_view("1")
                                 : std::string_view(part).substr(colon + 1);
         services.push_back({part.substr(0, colon),
-                            fields.to_number<double>("services", weight)});
+                            fields.checked<double>("services", weight)});
     }
     return services;
 }
--- a/src/decisions/row_parser.cpp
+++ b/src/decisions/row_parser.cpp
@@ -1,10 +1,10 @@
 #include "lacewingbeam/endpoint.hpp"
+#include "lacewingbeam/number.hpp"
 #include "lacewingbeam/table.hpp"
 
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string.hpp>
-#include <charconv>
 
 namespace lacewingbeam {
 
@@ -39,16 +39,13 @@
     if (text.empty()) {
         return fallback;
     }
-    double value = 0;
-    const auto* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end ||
-        !(value >= low && value <= high)) {
+    const auto value = to_number<double>(text);
+    if (!value || !(*value >= low && *value <= high)) {
         reject(row, name,
                "\"" + std::string(text) + "\" is not a number from " +
                    std::to_string(low) + " to " + std::to_string(high));
     }
-    return value;
+    return *value;
 }
 
 unsigned parse_count(const raw_row& row, std::string_view name, unsigned low,
@@ -57,16 +54,13 @@
     if (text.empty()) {
         return fallback;
     }
-    unsigned value = 0;
-    const auto* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end || value < low ||
-        value > high) {
+    const auto value = to_number<unsigned>(text);
+    if (!value || *value < low || *value > high) {
         reject(row, name,
                "\"" + std::string(text) + "\" is not a whole number from " +
                    std::to_string(low) + " to " + std::to_string(high));
     }
-    return value;
+    return *value;
 }
 
 duration parse_ms(const raw_row& row, std::string_view name, double low,
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -3,8 +3,8 @@
 #include "../adapters/event_log.hpp"
 #include "answers.hpp"
 #include "header_names.hpp"
+#include "lacewingbeam/number.hpp"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace lacewingbeam {
@@ -33,11 +33,8 @@
     if (found == std::string_view::npos) {
         return 1;
     }
-    const auto text = target.substr(found + parameter.size());
-    unsigned count = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, count);
-    return result.ec == std::errc{} && result.ptr == end ? count : 0;
+    return to_number<unsigned>(target.substr(found + parameter.size()))
+        .value_or(0);
 }
 
 } // namespace
--- a/src/entry/call_request.cpp
+++ b/src/entry/call_request.cpp
@@ -2,8 +2,7 @@
 
 #include "forward_token.hpp"
 #include "header_names.hpp"
-
-#include <charconv>
+#include "lacewingbeam/number.hpp"
 
 namespace lacewingbeam {
 
@@ -39,14 +38,8 @@
     if (!text) {
         return fallback;
     }
-    std::int64_t value = 0;
-    const char* end = text->data() + text->size();
-    const auto result = std::from_chars(text->data(), end, value);
-    if (result.ec != std::errc{} || result.ptr != end || value < 1 ||
-        value > limit) {
-        return std::nullopt;
-    }
-    return value;
+    const auto value = to_number<std::int64_t>(*text);
+    return value && *value >= 1 && *value <= limit ? value : std::nullopt;
 }
 
 bad_call bad_number(std::string_view name, std::int64_t limit) {
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -1,6 +1,6 @@
 #include "request_gateway.hpp"
 
-#include <charconv>
+#include "lacewingbeam/number.hpp"
 
 // The callers' side: requests, decisions carried out, and answers.
 namespace lacewingbeam {
@@ -30,16 +30,11 @@
 }
 
 std::optional<duration> read_time_left(std::optional<std::string_view> text) {
-    if (!text) {
+    const auto ms = text ? to_number<std::int64_t>(*text) : std::nullopt;
+    if (!ms || *ms < 0) {
         return std::nullopt;
     }
-    std::int64_t ms = 0;
-    const char* end = text->data() + text->size();
-    const auto result = std::from_chars(text->data(), end, ms);
-    if (result.ec != std::errc{} || result.ptr != end || ms < 0) {
-        return std::nullopt;
-    }
-    return std::chrono::milliseconds(ms);
+    return std::chrono::milliseconds(*ms);
 }
 
 // evhttp reads no body of these methods; what follows would be taken for the
--- a/src/tool/csv.cpp
+++ b/src/tool/csv.cpp
@@ -1,8 +1,8 @@
 #include "csv.hpp"
+#include "lacewingbeam/number.hpp"
 
 #include <algorithm>
 #include <boost/tokenizer.hpp>
-#include <charconv>
 #include <set>
 #include <sstream>
 
@@ -80,13 +80,11 @@
     if (text.empty()) {
         return 0;
     }
-    std::uint64_t version = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, version);
-    if (result.ec != std::errc{} || result.ptr != end) {
+    const auto version = to_number<std::uint64_t>(text);
+    if (!version) {
         reject(line, "version \"" + text + "\" is not a whole number");
     }
-    return version;
+    return *version;
 }
 
 raw_row read_row(const std::vector<std::string>& columns,
