Simplify the follower: options that may change, deltas without a copy

What a reload changes was picked field by field out of options made with a dummy seed; it is a struct of its own now. Each read of the store copied its rows in order to take some out; the deltas are found first, and rows they stand for are left out where they are told. The state of a table is reached by one function.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -56,14 +56,19 @@
     history_gone, // the changes asked for are no longer kept
 };
 
-struct follower_options {
+// How the store is read, and by how many. May change while an instance runs.
+struct reading_options {
     duration read_pause = std::chrono::milliseconds(550);
-    duration change_wait = std::chrono::milliseconds(2000);
     std::size_t readers = 1;
     duration silence = std::chrono::milliseconds(1250);
+    duration return_hold = std::chrono::milliseconds(2200);
+};
+
+struct follower_options {
+    reading_options reading;
+    duration change_wait = std::chrono::milliseconds(2000);
     duration seed_patience = std::chrono::milliseconds(30);
     std::size_t fan_out = 6; // instances that each one tells on
-    duration return_hold = std::chrono::milliseconds(2200);
     duration heartbeat_interval = std::chrono::milliseconds(500);
     membership_options members;
     member own;
@@ -78,9 +83,9 @@
 
     void set_seeds(std::span<const std::string> peer_addresses);
 
-    // Takes over how the store is read and by how many; the rest of the
-    // options holds for the instance's life.
-    void reconfigure(const follower_options& options);
+    void reconfigure(const reading_options& options) {
+        options_.reading = options;
+    }
 
     // The store answered a read.
     actions on_page(const store_page& page, time_point now);
@@ -155,6 +160,7 @@
     };
 
     table_state& state_of(store_table table);
+    const table_state& state_of(store_table table) const;
     bool is_outage(const table_state& state, time_point now) const;
     bool should_read(time_point now) const;
     bool waits_for_other(store_table table) const;
@@ -162,7 +168,7 @@
     void learn(const table_rows& rows, time_point now);
     void plan_own_read(time_point now);
     bool may_read_now(time_point now) const;
-    std::vector<row_delta> take_deltas(std::vector<raw_row>& rows) const;
+    std::vector<row_delta> find_deltas(std::span<const raw_row> rows) const;
     std::vector<std::string> draw_peers(const incarnation& origin,
                                         time_point now);
     void pass_on(table_rows rows, time_point now, actions& out);
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -68,13 +68,6 @@
     }
 }
 
-void directory_follower::reconfigure(const follower_options& options) {
-    options_.read_pause = options.read_pause;
-    options_.readers = options.readers;
-    options_.silence = options.silence;
-    options_.return_hold = options.return_hold;
-}
-
 void directory_follower::set_seeds(
     std::span<const std::string> peer_addresses) {
     members_.set_seeds(peer_addresses);
@@ -97,6 +90,11 @@
     return tables_[static_cast<std::size_t>(table)];
 }
 
+const directory_follower::table_state&
+directory_follower::state_of(store_table table) const {
+    return tables_[static_cast<std::size_t>(table)];
+}
+
 bool directory_follower::is_outage(const table_state& state,
                                    time_point now) const {
     return state.failing_since && now - *state.failing_since > shortest_outage;
@@ -105,10 +103,8 @@
 // A read of the routes waits at the store for a change, so only a failure of
 // it counts.
 std::optional<time_point> directory_follower::own_read_at() const {
-    const auto& routing =
-        tables_[static_cast<std::size_t>(store_table::routing)];
-    const auto& servers =
-        tables_[static_cast<std::size_t>(store_table::servers)];
+    const auto& routing = state_of(store_table::routing);
+    const auto& servers = state_of(store_table::servers);
     if (!routing.read_at || !servers.read_at) {
         return std::nullopt;
     }
@@ -145,12 +141,12 @@
     const auto rank = reader_rank(now);
     const bool knows_peers =
         boot_read_at_ == started_at_ || now - started_at_ > acquaintance;
-    if (rank < options_.readers && knows_peers && !leaving_) {
+    if (rank < options_.reading.readers && knows_peers && !leaving_) {
         return true;
     }
     const auto step = std::min<duration>(
         longest_fallback, fallback_step * static_cast<duration::rep>(rank));
-    return !told_at_ || now - *told_at_ > options_.silence + step;
+    return !told_at_ || now - *told_at_ > options_.reading.silence + step;
 }
 
 std::size_t directory_follower::sharing_instances(time_point now) const {
@@ -173,10 +169,8 @@
 
 // A store that fails for both tables is tried with one of them.
 bool directory_follower::waits_for_other(store_table table) const {
-    const auto& servers =
-        tables_[static_cast<std::size_t>(store_table::servers)];
-    const auto& routing =
-        tables_[static_cast<std::size_t>(store_table::routing)];
+    const auto& servers = state_of(store_table::servers);
+    const auto& routing = state_of(store_table::routing);
     return table == store_table::routing && routing.failing_since &&
            servers.failing_since;
 }
@@ -234,7 +228,7 @@
         due = reading_ ? due : std::min(due, boot_read_at_);
     }
     for (const auto table : {store_table::routing, store_table::servers}) {
-        const auto& state = tables_[static_cast<std::size_t>(table)];
+        const auto& state = state_of(table);
         if (reading_ && !state.asked && !waits_for_other(table)) {
             due = std::min(due, state.next_read);
         }
@@ -242,13 +236,11 @@
     for (const auto& [key, removal] : held_) {
         due = std::min(due, removal.due);
     }
-    const bool asked =
-        tables_[static_cast<std::size_t>(store_table::routing)].asked;
-    if (own_read_due_ && !asked) {
+    if (own_read_due_ && !state_of(store_table::routing).asked) {
         due = std::min(due, *own_read_due_);
     }
     if (!reading_ && told_at_) {
-        due = std::min(due, *told_at_ + options_.silence);
+        due = std::min(due, *told_at_ + options_.reading.silence);
     }
     return due;
 }
@@ -289,12 +281,12 @@
 void directory_follower::hold_removals(const table_state& state,
                                        std::vector<raw_row>& rows,
                                        time_point now) {
-    const bool lately =
-        state.returned_at && now - *state.returned_at < options_.return_hold;
+    const bool lately = state.returned_at &&
+                        now - *state.returned_at < options_.reading.return_hold;
     if (!lately) {
         return;
     }
-    const auto due = *state.returned_at + options_.return_hold;
+    const auto due = *state.returned_at + options_.reading.return_hold;
     std::erase_if(rows, [&](const raw_row& row) {
         if (row.deleted) {
             held_[row.key] = {row, due};
@@ -343,14 +335,16 @@
     }
     state.failing_since.reset();
     state.failures = 0;
-    auto& other = tables_[1 - static_cast<std::size_t>(page.table)];
+    auto& other =
+        state_of(page.table == store_table::routing ? store_table::servers
+                                                    : store_table::routing);
     if (other.failing_since) {
         other.next_read = now; // the store answers again
     }
     state.position = std::max(state.position.value_or(0), page.revision);
     state.read_at = now;
     const bool waited = page.table == store_table::routing && !page.snapshot;
-    state.next_read = waited ? now : now + options_.read_pause;
+    state.next_read = waited ? now : now + options_.reading.read_pause;
     for (const auto& row : page.rows) {
         if (!row.deleted) {
             held_.erase(row.key); // registered again
@@ -360,9 +354,8 @@
     add_missing(page, rows);
     hold_removals(state, rows, now);
     const bool news = !rows.empty() || page.table == store_table::servers;
-    const auto all = rows;
-    auto deltas = take_deltas(rows);
-    apply(all, now);
+    auto deltas = find_deltas(rows);
+    apply(rows, now);
     const bool own_read = page.table == store_table::routing &&
                           std::exchange(own_read_asked_, false);
     if (own_read && !reading_) {
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -58,30 +58,34 @@
 } // namespace
 
 // The routes change in a few cells; who holds the version before needs no
-// more. Takes rows out for which that is less.
+// more. Deltas for the rows, not applied yet, for which that is less.
 std::vector<row_delta>
-directory_follower::take_deltas(std::vector<raw_row>& rows) const {
+directory_follower::find_deltas(std::span<const raw_row> rows) const {
     std::vector<row_delta> deltas;
-    std::erase_if(rows, [&](const raw_row& row) {
+    for (const auto& row : rows) {
         const auto* held = directory_.find_row(row.key);
         if (row.key != routing_row_key || held == nullptr || held->deleted) {
-            return false;
+            continue;
         }
         auto delta = find_delta(*held, row);
-        const bool less = 2 * size_of(delta) < size_of(row);
-        if (less) {
+        if (2 * size_of(delta) < size_of(row)) {
             deltas.push_back(std::move(delta));
         }
-        return less;
-    });
+    }
     return deltas;
 }
 
+// Rows for which there is a delta are told by it.
 void directory_follower::tell_peers(std::vector<raw_row> rows,
                                     std::vector<row_delta> deltas,
                                     time_point now, actions& out) {
     table_rows message;
     message.age = own_read_at() ? now - *own_read_at() : duration::max() / 2;
+    std::erase_if(rows, [&](const raw_row& row) {
+        return std::any_of(
+            deltas.begin(), deltas.end(),
+            [&](const row_delta& delta) { return delta.key == row.key; });
+    });
     message.rows = std::move(rows);
     message.deltas = std::move(deltas);
     leave_out_large(message);
@@ -183,7 +187,7 @@
     }
     const bool news = is_news(rows);
     learn(rows, now);
-    if (rows.age > options_.silence) {
+    if (rows.age > options_.reading.silence) {
         return; // the sender is behind
     }
     if (rows.digest == directory_.digest()) {
@@ -225,8 +229,7 @@
 
 // True unless a read of the routes failed lately.
 bool directory_follower::may_read_now(time_point now) const {
-    const auto& routing =
-        tables_[static_cast<std::size_t>(store_table::routing)];
+    const auto& routing = state_of(store_table::routing);
     return !routing.failed_at || now - *routing.failed_at > failure_memory;
 }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -27,9 +27,6 @@
 // and what reading them takes.
 constexpr duration watch_interval = seconds(1);
 
-// Options that are read again draw nothing at random.
-constexpr std::uint64_t no_seed_needed = 0;
-
 // The balancer in front asks for readiness once a second and needs two bad
 // answers to send callers elsewhere.
 constexpr duration linger = milliseconds(3000);
@@ -132,8 +129,7 @@
             settings_, read_router_settings_file(watch_.path()), fixed);
         configure_log(settings_.log.level);
         router_->reconfigure(make_router_options(settings_));
-        follower_->reconfigure(
-            make_follower_options(settings_, no_seed_needed));
+        follower_->reconfigure(make_reading_options(settings_));
         follower_->set_seeds(split_list(settings_.peers.seeds));
         sync_->reconfigure(make_sync_options(settings_));
         log_event(event_number::reloaded,
--- a/src/router/router_terms.cpp
+++ b/src/router/router_terms.cpp
@@ -60,14 +60,20 @@
     return options;
 }
 
-follower_options make_follower_options(const settings::router_settings& values,
-                                       std::uint64_t seed) {
-    follower_options options;
+reading_options make_reading_options(const settings::router_settings& values) {
+    reading_options options;
     options.read_pause = milliseconds(values.store.read_pause);
     options.readers = static_cast<std::size_t>(values.store.readers);
     options.silence = milliseconds(values.store.silence);
-    options.seed_patience = milliseconds(values.store.seed_patience);
     options.return_hold = milliseconds(values.store.return_hold);
+    return options;
+}
+
+follower_options make_follower_options(const settings::router_settings& values,
+                                       std::uint64_t seed) {
+    follower_options options;
+    options.reading = make_reading_options(values);
+    options.seed_patience = milliseconds(values.store.seed_patience);
     options.heartbeat_interval = milliseconds(values.peers.heartbeat_interval);
     options.members.heartbeat_interval = options.heartbeat_interval;
     options.members.fan_out = static_cast<std::size_t>(values.peers.fan_out);
--- a/src/router/router_terms.hpp
+++ b/src/router/router_terms.hpp
@@ -19,6 +19,8 @@
 
 router_options make_router_options(const settings::router_settings& values);
 
+reading_options make_reading_options(const settings::router_settings& values);
+
 // `seed` draws the instance's id and its choices of peers.
 follower_options make_follower_options(const settings::router_settings& values,
                                        std::uint64_t seed);
