Name log events by the catalogue's enum in the story of a request

The tool spelled eight event numbers as text beside the enum that has them, and split each whole line into words to take two.

--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -132,6 +132,10 @@
 
 } // namespace
 
+std::string event_code(event_number number) {
+    return "LB" + std::to_string(static_cast<int>(number));
+}
+
 std::span<const event_description> event_catalogue() {
     return catalogue;
 }
@@ -167,7 +171,7 @@
 
 void log_event(event_number number, std::initializer_list<log_field> fields) {
     const auto& event = describe(number);
-    std::string line = "LB" + std::to_string(static_cast<int>(number)) + " ";
+    std::string line = event_code(number) + " ";
     line += event.name;
     for (const auto& field : fields) {
         line += ' ';
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -55,6 +55,9 @@
     std::string_view meaning;
 };
 
+// The number as it stands in a log, such as LB1601.
+std::string event_code(event_number number);
+
 // Every event, in order of number.
 std::span<const event_description> event_catalogue();
 
--- a/src/tool/log_story.cpp
+++ b/src/tool/log_story.cpp
@@ -1,6 +1,9 @@
 #include "log_story.hpp"
 
+#include "adapters/event_log.hpp"
+
 #include <algorithm>
+#include <array>
 #include <boost/algorithm/string.hpp>
 #include <set>
 
@@ -8,11 +11,16 @@
 
 namespace {
 
-// Numbers of the events that say what an instance believes.
-constexpr std::string_view servers_changed = "LB1101";
-const std::set<std::string_view> dependency_events{"LB1001", "LB1002", "LB1006",
-                                                   "LB1007", "LB1103", "LB1104",
-                                                   "LB1107", "LB1108"};
+// Events that say what an instance believes of what it depends on.
+constexpr std::array dependency_events{
+    event_number::started,         event_number::stopping,
+    event_number::reloaded,        event_number::reload_failed,
+    event_number::platform_failed, event_number::platform_recovered,
+    event_number::reading_began,   event_number::reading_ended};
+
+bool is_of(const log_line& line, event_number number) {
+    return line.number == event_code(number);
+}
 
 constexpr std::string_view number_start = " LB";
 
@@ -23,6 +31,13 @@
                               : text.substr(start + 1, end - start - 1);
 }
 
+// Takes the first word off.
+std::string_view take_word(std::string_view& text) {
+    const auto word = text.substr(0, text.find(' '));
+    text.remove_prefix(std::min(text.size(), word.size() + 1));
+    return word;
+}
+
 // Fields as name=value; a value with spaces is quoted.
 std::map<std::string, std::string> read_fields(std::string_view text) {
     std::map<std::string, std::string> fields;
@@ -42,9 +57,16 @@
     return fields;
 }
 
+bool tells_of_dependency(const log_line& line) {
+    return std::any_of(
+        dependency_events.begin(), dependency_events.end(),
+        [&](event_number number) { return is_of(line, number); });
+}
+
 bool names_one_of(const log_line& line, const std::set<std::string>& servers) {
     const auto changed = line.fields.find("changed");
-    if (line.number != servers_changed || changed == line.fields.end()) {
+    if (!is_of(line, event_number::table_changed) ||
+        changed == line.fields.end()) {
         return false;
     }
     std::vector<std::string> ids;
@@ -78,13 +100,10 @@
     out.instance = before.empty() ? instance : before;
     out.time = time;
     out.text = line.substr(number + 1);
-    std::vector<std::string> words;
-    boost::algorithm::split(words, out.text, [](char c) { return c == ' '; });
-    out.number = words[0];
-    out.name = words.size() > 1 ? words[1] : "";
-    const auto head = out.number.size() + 1 + out.name.size();
-    out.fields = read_fields(
-        std::string_view(out.text).substr(std::min(head, out.text.size())));
+    std::string_view rest = out.text;
+    out.number = take_word(rest);
+    out.name = take_word(rest);
+    out.fields = read_fields(rest);
     return out;
 }
 
@@ -114,10 +133,10 @@
     const auto last =
         std::max_element(story.begin(), story.end(), by_time)->time;
     for (const auto& line : lines) {
-        const bool believed = names_one_of(line, servers) ||
-                              dependency_events.contains(line.number);
-        if (believed && line.time <= last &&
-            instances.contains(line.instance)) {
+        const bool meanwhile =
+            line.time <= last && instances.contains(line.instance);
+        if (meanwhile &&
+            (names_one_of(line, servers) || tells_of_dependency(line))) {
             story.push_back(line);
         }
     }
