--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -1,6 +1,6 @@
 #include "ledger.hpp"
 
-#include "installation.hpp"
+#include "answer_text.hpp"
 
 #include <algorithm>
 #include <set>
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -1,13 +1,14 @@
+#include "base64.hpp"
 #include "binding.hpp"
 
 #include <boost/random/uniform_int_distribution.hpp>
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 // What the users' platform says, translated.
 using namespace lacewingbeam;
 using namespace lacewingbeam::platform;
+using testing_support::encode_base64;
 
 namespace {
 
@@ -30,16 +31,6 @@
 "capacity":3,"state":"ready","coldLeftMs":500,"sequence":4,
 "born":1790000000000})";
 
-std::string encode_base64(const std::string& text) {
-    std::string out(text.size() * 2 + 4, '\0');
-    const int size =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                        reinterpret_cast<const unsigned char*>(text.data()),
-                        static_cast<int>(text.size()));
-    out.resize(static_cast<std::size_t>(size));
-    return out;
-}
-
 std::string make_page(const std::string& key, const std::string& value) {
     nlohmann::json row{{"tableName", "t"},
                        {"part", ""},
--- a/test/users_platform/installation.cpp
+++ b/test/users_platform/installation.cpp
@@ -1,7 +1,8 @@
 #include "installation.hpp"
 
+#include "base64.hpp"
+
 #include <arpa/inet.h>
-#include <openssl/evp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,16 +11,6 @@
 
 namespace {
 
-std::string encode_base64(const std::string& text) {
-    std::string out(text.size() * 2 + 4, '\0');
-    const int size =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                        reinterpret_cast<const unsigned char*>(text.data()),
-                        static_cast<int>(text.size()));
-    out.resize(static_cast<std::size_t>(size));
-    return out;
-}
-
 // A router is known by its addresses, so they are chosen before it starts. The
 // socket keeps the port from others; the router may listen on it all the same.
 std::string hold_address(std::vector<int>& held) {
@@ -73,19 +64,6 @@
 
 } // namespace
 
-std::string expected_body(const std::string& id, std::size_t bytes) {
-    std::string body;
-    while (body.size() < bytes) {
-        body += id + ":";
-    }
-    body.resize(bytes);
-    return body;
-}
-
-std::string expected_stamp(const std::string& id, std::size_t bytes) {
-    return id + "." + std::to_string(bytes);
-}
-
 installation::installation() {
     store_process_ = std::make_unique<process>(
         std::vector<std::string>{program("standin-store")},
--- a/test/users_platform/installation.hpp
+++ b/test/users_platform/installation.hpp
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBEAM_TEST_USERS_PLATFORM_INSTALLATION_HPP
 #define LACEWINGBEAM_TEST_USERS_PLATFORM_INSTALLATION_HPP
 
+#include "answer_text.hpp"
 #include "http_call.hpp"
 #include "process.hpp"
 #include "proxy.hpp"
@@ -109,10 +110,6 @@
     std::uint64_t sequence_ = 0;
 };
 
-// What a backend server answers to a request, whole.
-std::string expected_body(const std::string& id, std::size_t bytes);
-std::string expected_stamp(const std::string& id, std::size_t bytes);
-
 } // namespace testing_support
 
 #endif
--- a/test/users_platform/server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -1,3 +1,4 @@
+#include "answer_text.hpp"
 #include "json_server.hpp"
 
 #include <algorithm>
@@ -59,16 +60,6 @@
         .count();
 }
 
-// The whole answer to a request: its id over and over.
-std::string make_body(const std::string& id, std::size_t bytes) {
-    std::string body;
-    while (body.size() < bytes) {
-        body += id + ":";
-    }
-    body.resize(bytes);
-    return body;
-}
-
 class backend_server {
 public:
     explicit backend_server(behaviour how) : how_(std::move(how)) {}
@@ -204,7 +195,8 @@
 
 void backend_server::answer(const job_ptr& item) {
     const auto& request = item->request;
-    const auto body = make_body(item->request_id, item->bytes);
+    const auto body =
+        testing_support::expected_body(item->request_id, item->bytes);
     if (take_one(how_.lose_answers)) {
         request->drop();
         return;
@@ -212,9 +204,9 @@
     const bool foreign = take_one(how_.foreign_answers);
     request->add_header("X-Request-Id", foreign ? "another" : item->request_id);
     if (!take_one(how_.unsigned_answers)) {
-        request->add_header("X-Response-Stamp",
-                            item->request_id + "." +
-                                std::to_string(body.size()));
+        request->add_header(
+            "X-Response-Stamp",
+            testing_support::expected_stamp(item->request_id, body.size()));
     }
     if (take_one(how_.encoded_answers)) {
         request->add_header("Content-Encoding", "x-other");
