--- a/support/processes.sh
+++ b/support/processes.sh
@@ -44,7 +44,7 @@
 
 # port_of NAME caller|admin|peer: IP:port of an instance.
 port_of() {
-    sed -n "s/.*$2=\([^ ]*\).*/\1/p" "$work_dir/$1.out"
+    sed -n "s/^listening .*\b$2=\([^ ]*\).*/\1/p" "$work_dir/$1.out"
 }
 
 # start_platform NAME
