Place by samples with their age, ask promising servers first

Cause (docs/POLICY.md, 'Where it began'): a request waited, up to its limit, when no server had a sample of the last 15 ms, and an instance may send 2.8 probes a second to a server, few after a start. Expected time also held the price of distrust, so that requests for a service whose servers all refuse now and then were kept waiting for a better moment, or refused, until their time was over.

Change: load_memory learns how long a sample tells something, from samples that follow one another; servers are asked in order of what they are expected to cost, one first; without probes the older samples decide. Distrust and distance order the servers but do not count as time. A caller refused by servers that have room may come back at once.

--- a/include/lacewingbeam/expected_time.hpp
+++ b/include/lacewingbeam/expected_time.hpp
@@ -15,10 +15,17 @@
     double slowness = 1; // time that work takes now, relative to the usual
 };
 
+// The load that a request would meet; a mean where samples are old.
+struct expected_load {
+    unsigned slots = 1;
+    double running = 0;
+    unsigned waiting = 0;
+    double slowness = 1;
+};
+
 // Everything that is known of a backend server when a request is placed.
 struct placement_view {
-    server_load_sample load;
-    unsigned sent_since = 0;   // own requests sent after the sample
+    expected_load load;
     bool cold = false;         // started a moment ago
     bool same_domain = true;   // in this instance's failure domain
     double distrust = 0;       // 0 none, 1 every recent request failed
@@ -28,10 +35,14 @@
     crowding_estimate crowding;
 };
 
-// Expected time in milliseconds from now to the whole answer, with what
-// bytes between failure domains and failures cost added as time.
+// Expected time in milliseconds from now to the whole answer.
 double expected_time_ms(const placement_view& view);
 
+// The expected time and, as milliseconds too, what bytes between failure
+// domains and failures cost. It says which of several servers to take, not
+// when the answer is there.
+double placement_cost_ms(const placement_view& view);
+
 // True if the request would start at once, at a server where one more makes
 // it do more in all.
 bool has_useful_slot(const placement_view& view);
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -6,6 +6,7 @@
 #include "crowding.hpp"
 #include "directory.hpp"
 #include "expected_time.hpp"
+#include "load_memory.hpp"
 #include "repeat_budget.hpp"
 #include "routing.hpp"
 #include "verdict.hpp"
@@ -107,12 +108,13 @@
 struct place_at_random {};
 // The better of two random servers by own requests in flight.
 struct place_by_two_choices {};
-// The server with the lowest expected time by its own word, asked for it
-// just before. The first few answers suffice if one of them is about as good
-// as can be; more are asked only else.
+// The server with the lowest cost, expected time most of all. The most
+// promising by what they told before are asked for their load; if the first
+// answers are not about as good as can be, more are asked. Where the probe
+// budget allows none, older samples decide.
 struct place_by_expected_time {
     unsigned probes = 4;
-    unsigned first_probes = 2;
+    unsigned first_probes = 1;
     duration probe_timeout = std::chrono::milliseconds(12);
 };
 using placing_policy =
@@ -190,6 +192,7 @@
         std::map<std::string, double> work_ms;   // by route
         std::map<std::string, double> answer_kb; // by route
         crowding_estimate crowding;
+        load_memory memory;
         std::set<std::string> subset; // empty: to be drawn
     };
 
@@ -228,6 +231,7 @@
     struct scored_server {
         std::string id;
         double expected_ms = 0;
+        double cost_ms = 0;
         bool useful_slot = false;
         bool told = false; // has a fresh sample
     };
@@ -240,6 +244,8 @@
     double distrust_of(const server_entry& entry, time_point now) const;
     void note_outcome(const std::string& server, bool good, double weight,
                       time_point now);
+    static std::optional<told_load> told_by(const server_entry& entry,
+                                            time_point now);
     placement_view view_of(const request_entry& request,
                            const known_server& server, time_point now);
     double work_of(const request_entry& request);
@@ -251,10 +257,14 @@
     void place_waiting(const std::string& id, time_point now, actions& out);
     bool may_use(const request_entry& request, const placement_view& view,
                  time_point now) const;
+    bool finds_room(const request_entry& request, time_point now);
     bool goes_before(const request_entry& a, const request_entry& b,
                      time_point now);
     void wait(request_entry& request, time_point now, actions& out);
     void begin_round(request_entry& request, time_point now, actions& out);
+    std::vector<const known_server*>
+    probe_order_of(const request_entry& request,
+                   const place_by_expected_time& policy, time_point now);
     void send_probes(request_entry& request,
                      const place_by_expected_time& policy, time_point now,
                      actions& out);
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -109,7 +109,7 @@
 struct placing_section {
   1: string policy = "expected_time" (one_of = "random power_of_two expected_time", help = "rule that chooses a backend server"),
   2: i32 probes = 4 (unit = "count", min = "0", max = "64", help = "backend servers asked for their load before each request, at most"),
-  5: i32 first_probes = 2 (unit = "count", min = "1", max = "64", help = "of these, asked first; the others only if no answer is good"),
+  5: i32 first_probes = 1 (unit = "count", min = "1", max = "64", help = "of these, asked first; the others only if no answer is good"),
   3: i32 probe_timeout = 12 (unit = "ms", min = "1", max = "1000", help = "longest wait for these answers"),
   4: double hedge_at = 0.6 (unit = "ratio", min = "0", max = "10", help = "part of the response-time objective after which a repeatable request goes to a second backend server; 0: never"),
 }
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -13,11 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// A sample counts for the round of probes it came in: the default timeout of a
-// round and some time to decide. Older ones say nothing of servers whose load
-// changes within milliseconds.
-constexpr duration sample_life = milliseconds(15);
-
 // Distrust halves in this time without a new failure; servers recover within
 // seconds.
 constexpr double distrust_half_life_s = 2;
@@ -99,26 +94,30 @@
                                   : found->second;
 }
 
+std::optional<told_load> request_router::told_by(const server_entry& entry,
+                                                 time_point now) {
+    if (!entry.load) {
+        return std::nullopt;
+    }
+    return told_load{*entry.load, now - entry.load_at, entry.sent_since};
+}
+
 placement_view request_router::view_of(const request_entry& request,
                                        const known_server& server,
                                        time_point now) {
-    auto& entry = entry_of(server.info.id);
+    const auto& entry = entry_of(server.info.id);
+    const auto& service = entry_of_service(request.service);
     placement_view view;
-    view.load.slots = server.info.slots;
-    view.load.running = entry.in_flight;
-    if (entry.load) {
-        view.load = *entry.load;
-        view.sent_since = entry.sent_since;
-    }
+    view.load = service.memory.expect(told_by(entry, now), server.info.slots,
+                                      entry.in_flight, work_of(request));
     view.cold = now < server.cold_until;
     view.same_domain = server.info.failure_domain == options_.failure_domain;
     view.distrust = distrust_of(entry, now);
     view.work_ms = work_of(request);
     view.objective_ms = to_ms(request.objective);
-    const auto& sizes = entry_of_service(request.service).answer_kb;
-    const auto size = sizes.find(request.route);
-    view.answer_kb = size == sizes.end() ? 0 : size->second;
-    view.crowding = entry_of_service(request.service).crowding;
+    const auto size = service.answer_kb.find(request.route);
+    view.answer_kb = size == service.answer_kb.end() ? 0 : size->second;
+    view.crowding = service.crowding;
     return view;
 }
 
@@ -201,6 +200,11 @@
                                const std::optional<server_load_sample>& load,
                                time_point now) {
     auto& entry = entry_of(server);
+    const auto* known = directory_.find(server);
+    if (load && known != nullptr) {
+        entry_of_service(known->info.service)
+            .memory.on_told(told_by(entry, now), *load);
+    }
     entry.load = load;
     entry.load_at = now;
     entry.sent_since = 0;
@@ -244,7 +248,7 @@
             expected > to_ms(best->limit_at - now)) {
             return;
         }
-        place(*best, {id, expected, true, true}, 1, now, out);
+        place(*best, {.id = id, .expected_ms = expected}, 1, now, out);
     }
 }
 
@@ -256,12 +260,22 @@
                              const placement_view& view, time_point now) const {
     const auto objective_at = request.arrived + request.objective;
     const bool late = to_ms(objective_at - now) < view.work_ms;
-    const auto used = view.load.running + view.sent_since;
+    constexpr double idle = 0.5; // means less than one request
+    const double used = view.load.running;
     const auto useful = view.crowding.useful_slots(view.load.slots);
-    const bool much_room = used == 0 || used + slots_left_by_late < useful;
+    const bool much_room = used < idle || used + slots_left_by_late < useful;
     return has_useful_slot(view) && (!late || much_room);
 }
 
+// True if a server that has not refused the request seems to have room.
+bool request_router::finds_room(const request_entry& request, time_point now) {
+    const auto servers = candidates(request);
+    return std::any_of(
+        servers.begin(), servers.end(), [&](const known_server* server) {
+            return has_useful_slot(view_of(request, *server, now));
+        });
+}
+
 // Requests that can still meet their objective first, then by priority, then
 // the oldest.
 bool request_router::goes_before(const request_entry& a, const request_entry& b,
@@ -284,8 +298,9 @@
         const auto view = view_of(request, *server, now);
         scored_server item;
         item.id = server->info.id;
-        item.told = now - entry.load_at <= sample_life;
-        item.expected_ms = expected_time_ms(view) * spread(engine_);
+        item.told = now - entry.load_at <= current_sample;
+        item.expected_ms = expected_time_ms(view);
+        item.cost_ms = placement_cost_ms(view) * spread(engine_);
         item.useful_slot = may_use(request, view, now);
         scored.push_back(std::move(item));
     }
@@ -326,20 +341,18 @@
         place(request, choose_untold(scored), count, now, out);
         return;
     }
+    // Where no probe could be sent or was answered, older samples decide.
     const bool any_told =
         std::any_of(scored.begin(), scored.end(),
                     [](const scored_server& item) { return item.told; });
-    if (!any_told) {
-        if (!running) {
-            wait(request, now, out);
-        }
-        return;
+    if (any_told) {
+        std::erase_if(scored,
+                      [](const scored_server& item) { return !item.told; });
     }
-    std::erase_if(scored, [](const scored_server& item) { return !item.told; });
     const auto best =
         *std::min_element(scored.begin(), scored.end(),
                           [](const scored_server& a, const scored_server& b) {
-                              return a.expected_ms < b.expected_ms;
+                              return a.cost_ms < b.cost_ms;
                           });
     const double left = to_ms(request.limit_at - now);
     if (running) {
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -1,7 +1,7 @@
 #include "lacewingbeam/request_router.hpp"
 
 #include <algorithm>
-#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
 
 // How the request router asks backend servers for their load.
 namespace lacewingbeam {
@@ -32,6 +32,10 @@
 // A time this near to the best possible is not worth waiting for more probes.
 constexpr double good_enough_factor = 1.1;
 
+// Servers whose expected cost differs by less are asked in any order, so that
+// instances that know the same do not ask the same ones.
+constexpr double probe_spread = 0.2;
+
 } // namespace
 
 // The server's part of the probe budget that is this instance's.
@@ -47,39 +51,56 @@
     return *entry.probes;
 }
 
+// The request's servers that may be asked, the most promising first.
+std::vector<const known_server*>
+request_router::probe_order_of(const request_entry& request,
+                               const place_by_expected_time& policy,
+                               time_point now) {
+    boost::random::uniform_real_distribution<double> spread(1,
+                                                            1 + probe_spread);
+    std::vector<std::pair<double, const known_server*>> ranked;
+    for (const auto* server : candidates(request)) {
+        const auto& entry = entry_of(server->info.id);
+        const bool told = now - entry.load_at < policy.probe_timeout;
+        if (now >= entry.silent_until && (request.probed == 0 || !told)) {
+            ranked.emplace_back(
+                placement_cost_ms(view_of(request, *server, now)) *
+                    spread(engine_),
+                server);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<const known_server*> servers;
+    std::transform(ranked.begin(), ranked.end(), std::back_inserter(servers),
+                   [](const auto& item) { return item.second; });
+    return servers;
+}
+
 void request_router::send_probes(request_entry& request,
                                  const place_by_expected_time& policy,
                                  time_point now, actions& out) {
     const bool first = request.probed == 0;
     const auto count = first ? std::min(policy.first_probes, policy.probes)
                              : policy.probes - request.probed;
-    auto servers = candidates(request);
-    std::erase_if(servers, [&](const known_server* server) {
-        const auto& entry = entry_of(server->info.id);
-        const bool told = now - entry.load_at < policy.probe_timeout;
-        return now < entry.silent_until || (!first && told);
-    });
+    const auto servers = probe_order_of(request, policy, now);
     request.pending.clear();
     unsigned sent = 0;
-    while (sent < count && !servers.empty()) {
-        boost::random::uniform_int_distribution<std::size_t> draw(
-            0, servers.size() - 1);
-        const auto at =
-            servers.begin() + static_cast<std::ptrdiff_t>(draw(engine_));
-        const auto& server = **at;
-        servers.erase(at);
-        auto& entry = entry_of(server.info.id);
-        if (distrust_of(entry, now) > hopeless_distrust && !servers.empty()) {
+    for (const auto* server : servers) {
+        if (sent == count) {
+            break;
+        }
+        auto& entry = entry_of(server->info.id);
+        if (distrust_of(entry, now) > hopeless_distrust && sent > 0) {
             continue;
         }
         if (!probes_of(entry, now).try_take(now)) {
             continue;
         }
         const auto id = probe_id{next_probe_++};
-        probes_[id] = {request.id, server.info.id};
+        probes_[id] = {request.id, server->info.id};
         request.pending.push_back(id);
         out.emplace_back(probe_order{
-            id, server.info.id, server.info.address, request.health_path,
+            id, server->info.id, server->info.address, request.health_path,
             connection_share(request), policy.probe_timeout});
         ++sent;
     }
@@ -165,7 +186,7 @@
         return false;
     }
     const auto view = view_of(request, *known, now);
-    return expected_time_ms(view) <= good_enough_factor * view.work_ms;
+    return placement_cost_ms(view) <= good_enough_factor * view.work_ms;
 }
 
 } // namespace lacewingbeam
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -229,8 +229,11 @@
         finish(request, may_have_run{*request.lost}, std::nullopt, out);
         return;
     }
-    finish(request, not_run{reason}, retry_time(request, work_of(request), now),
-           out);
+    // Servers that refuse although they have room may take the next request.
+    const bool at_once =
+        reason == not_run_reason::shed && finds_room(request, now);
+    const double wait_ms = at_once ? 0 : work_of(request);
+    finish(request, not_run{reason}, retry_time(request, wait_ms, now), out);
 }
 
 // When a slot is likely to be free again: about the time of one request, and
--- a/test/unit/router_fixture.hpp
+++ b/test/unit/router_fixture.hpp
@@ -14,6 +14,7 @@
 struct world_options {
     unsigned servers = 4;
     unsigned slots = 3;
+    unsigned far_servers = 0; // the last ones, in failure domain "b"
     repetition repeats = repetition::at_most_once;
     unsigned max_attempts = 2;
     router_options router;
@@ -97,7 +98,9 @@
             server.id = id;
             server.service = "svc";
             server.address = "127.0.0.1:80";
-            server.failure_domain = "a";
+            const bool far =
+                rows.size() > options.servers - options.far_servers;
+            server.failure_domain = far ? "b" : "a";
             server.slots = options.slots;
             rows.push_back(make_row(server, rows.size() + 1));
         }
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -21,6 +21,12 @@
     return options;
 }
 
+world_options world_of_two_rounds() {
+    world_options options;
+    options.router.policy = place_by_expected_time{4, 2};
+    return options;
+}
+
 world_options world_with_slack() {
     world_options options;
     options.router.repeats = {0.2, 100, seconds(10)};
@@ -36,7 +42,7 @@
 } // namespace
 
 Test(router, request_probes_before_it_is_sent) {
-    router_world world({});
+    router_world world(world_of_two_rounds());
     const auto asked = world.submit(1);
     cr_assert_eq(router_world::pick<probe_order>(asked).size(), 2);
     cr_assert(router_world::pick<send_order>(asked).empty());
@@ -47,7 +53,7 @@
 // Servers that are slow for a moment: who finds two of them looks further,
 // who finds an idle one asks no more.
 Test(router, crowded_first_answers_lead_to_more_probes_of_other_servers) {
-    router_world world({});
+    router_world world(world_of_two_rounds());
     const auto first = router_world::pick<probe_order>(world.submit(1));
     cr_assert_eq(first.size(), 2);
     world.router.on_probe_answered(first[0].id, crowded, world.now);
@@ -410,31 +416,31 @@
 
 Test(expected_time, busy_server_takes_longer_than_an_idle_one) {
     placement_view view;
-    view.load = {0, 0, 3, 1};
+    view.load = {3, 0, 0, 1};
     const double at_idle = expected_time_ms(view);
-    view.load = {3, 2, 3, 1};
+    view.load = {3, 3, 2, 1};
     cr_assert_gt(expected_time_ms(view), at_idle);
-    view.load = {0, 0, 3, 5};
+    view.load = {3, 0, 0, 5};
     cr_assert_gt(expected_time_ms(view), 4 * at_idle);
 }
 
 Test(expected_time, large_answer_prefers_its_failure_domain) {
     placement_view near;
-    near.load = {1, 0, 3, 1.5};
+    near.load = {3, 1, 0, 1.5};
     near.answer_kb = 90;
     placement_view far = near;
     far.load.slowness = 1;
     far.same_domain = false;
-    cr_assert_lt(expected_time_ms(near), expected_time_ms(far));
+    cr_assert_lt(placement_cost_ms(near), placement_cost_ms(far));
     near.answer_kb = far.answer_kb = 1;
-    cr_assert_gt(expected_time_ms(near), expected_time_ms(far));
+    cr_assert_gt(placement_cost_ms(near), placement_cost_ms(far));
 }
 
 Test(expected_time, failing_server_is_not_chosen_for_looking_idle) {
     placement_view failing;
-    failing.load = {0, 0, 3, 1};
+    failing.load = {3, 0, 0, 1};
     failing.distrust = 0.5;
     placement_view busy;
-    busy.load = {2, 0, 3, 2};
-    cr_assert_gt(expected_time_ms(failing), expected_time_ms(busy));
+    busy.load = {3, 2, 0, 2};
+    cr_assert_gt(placement_cost_ms(failing), placement_cost_ms(busy));
 }
