--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -272,7 +272,7 @@
     const auto servers = candidates(request);
     return std::any_of(
         servers.begin(), servers.end(), [&](const known_server* server) {
-            return has_useful_slot(view_of(request, *server, now));
+            return has_free_slot(view_of(request, *server, now));
         });
 }
 
