--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -112,8 +112,8 @@
     std::size_t sharing_instances(time_point now) const;
 
     // Time since the store was last read, by this instance or by a peer that
-    // told it.
-    duration age(time_point now) const;
+    // told it; nothing before the first time.
+    std::optional<duration> age(time_point now) const;
 
     // Position of this instance in the order in which the active ones are
     // asked to read the store.
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -64,7 +64,7 @@
     bool hedge = false;
     // What decided it, for the log.
     server_load_sample load;
-    duration load_age{};
+    std::optional<duration> load_age; // nothing: the server told none
     double expected_ms = 0;
     std::size_t candidates = 0;
 };
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <easylogging++.h>
 #include <fcntl.h>
 #include <iostream>
@@ -136,6 +137,20 @@
     return "LB" + std::to_string(static_cast<int>(number));
 }
 
+std::string decimal_text(double value) {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.1f", value);
+    return text.data();
+}
+
+std::string ms_text(duration value) {
+    return decimal_text(to_ms(value));
+}
+
+std::string age_text(std::optional<duration> value) {
+    return value ? ms_text(*value) : "never";
+}
+
 std::span<const event_description> event_catalogue() {
     return catalogue;
 }
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -1,8 +1,11 @@
 #ifndef LACEWINGBEAM_ADAPTERS_EVENT_LOG_HPP
 #define LACEWINGBEAM_ADAPTERS_EVENT_LOG_HPP
 
+#include "lacewingbeam/core.hpp"
+
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,6 +69,13 @@
     std::string value;
 };
 
+// A figure or a time in milliseconds with one decimal, as fields show them.
+std::string decimal_text(double value);
+std::string ms_text(duration value);
+
+// The same for a time since something; "never" if it did not happen.
+std::string age_text(std::optional<duration> value);
+
 // Sets the least level that is written: debug, info, warning or error.
 void configure_log(std::string_view level);
 
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -112,11 +112,12 @@
                                  : *servers.read_at;
 }
 
-duration directory_follower::age(time_point now) const {
-    const auto own = own_read_at();
-    const auto latest =
-        std::max(own.value_or(time_point{}), told_at_.value_or(time_point{}));
-    return now - latest;
+std::optional<duration> directory_follower::age(time_point now) const {
+    const auto latest = std::max(own_read_at(), told_at_);
+    if (!latest) {
+        return std::nullopt;
+    }
+    return now - *latest;
 }
 
 // Position in the order in which instances are asked to read.
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -420,7 +420,9 @@
     order.repeatable = request.repeats == repetition::repeatable;
     order.hedge = !request.running.empty();
     order.load = entry.load.value_or(server_load_sample{});
-    order.load_age = entry.load ? now - entry.load_at : duration::max();
+    if (entry.load) {
+        order.load_age = now - entry.load_at;
+    }
     order.expected_ms = chosen.expected_ms;
     order.candidates = count;
     request.waiting = false;
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -82,7 +82,7 @@
         reading_ ? event_number::reading_began : event_number::reading_ended,
         {{"rank", std::to_string(follower_.reader_rank(now))},
          {"peers", std::to_string(follower_.members().members(now).size())},
-         {"age_ms", std::to_string(to_ms(follower_.age(now)))}});
+         {"age_ms", age_text(follower_.age(now))}});
 }
 
 void directory_sync::schedule() {
@@ -199,11 +199,10 @@
     counts_.count_platform_request(table_name(table), false);
     if (!read.failing) {
         read.failing = true;
-        log_event(
-            event_number::platform_failed,
-            {{"table", std::string(table_name(table))},
-             {"reason", std::string(reason)},
-             {"age_ms", std::to_string(to_ms(follower_.age(loop_.now())))}});
+        log_event(event_number::platform_failed,
+                  {{"table", std::string(table_name(table))},
+                   {"reason", std::string(reason)},
+                   {"age_ms", age_text(follower_.age(loop_.now()))}});
     }
     carry_out(follower_.on_failed(table, failure, loop_.now()));
 }
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -70,13 +70,11 @@
                 {"service", order.service},
                 {"server", order.server},
                 {"hedge", order.hedge ? "yes" : "no"},
-                {"expected_ms", std::to_string(order.expected_ms)},
+                {"expected_ms", decimal_text(order.expected_ms)},
                 {"running", std::to_string(order.load.running)},
                 {"waiting", std::to_string(order.load.waiting)},
-                {"slowness", std::to_string(order.load.slowness)},
-                {"load_age_ms", order.load_age == duration::max()
-                                    ? "-"
-                                    : std::to_string(to_ms(order.load_age))},
+                {"slowness", decimal_text(order.load.slowness)},
+                {"load_age_ms", age_text(order.load_age)},
                 {"candidates", std::to_string(order.candidates)},
                 {"left_ms", std::to_string(ms.count())}},
                now);
@@ -235,7 +233,7 @@
                     {"server", attempt.server},
                     {"result", std::string(name)},
                     {"detail", std::string(detail)},
-                    {"ms", std::to_string(to_ms(now - attempt.sent_at))}},
+                    {"ms", ms_text(now - attempt.sent_at)}},
                    now);
     }
     const auto server = attempt.server;
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -154,8 +154,7 @@
         }
         log_.write(event_number::caller_gone,
                    {{"id", found->second.id},
-                    {"after_ms", std::to_string(to_ms(loop_.now() -
-                                                      found->second.arrived))}},
+                    {"after_ms", ms_text(loop_.now() - found->second.arrived)}},
                    loop_.now());
         forget(found);
         carry_out(router_.on_caller_gone(id, loop_.now()));
@@ -199,7 +198,7 @@
                 {"status", std::to_string(held.head.status)},
                 {"server", held.server},
                 {"bytes", std::to_string(held.body.size())},
-                {"ms", std::to_string(to_ms(now - found->second.arrived))}},
+                {"ms", ms_text(now - found->second.arrived)}},
                now);
     answer(found->second, held.head.status, std::move(headers), held.body);
     forget(found);
@@ -219,15 +218,14 @@
     const auto& service = found->second.service;
     counts_.count_call(service.empty() ? "unknown" : service, order.outcome,
                        now - found->second.arrived);
-    log_.write(
-        event_number::request_finished,
-        {{"id", found->second.id},
-         {"status", std::to_string(status)},
-         {"reason", std::string(reason_name(order.outcome))},
-         {"retry_after_ms",
-          order.retry_after ? std::to_string(to_ms(*order.retry_after)) : "-"},
-         {"ms", std::to_string(to_ms(now - found->second.arrived))}},
-        now);
+    log_.write(event_number::request_finished,
+               {{"id", found->second.id},
+                {"status", std::to_string(status)},
+                {"reason", std::string(reason_name(order.outcome))},
+                {"retry_after_ms",
+                 order.retry_after ? ms_text(*order.retry_after) : "-"},
+                {"ms", ms_text(now - found->second.arrived)}},
+               now);
     answer(found->second, status, std::move(headers), "");
     forget(found);
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -154,7 +154,7 @@
               {{"version", routing == nullptr ? "-" : routing->version},
                {"servers", std::to_string(known.server_count())},
                {"changed", boost::algorithm::join(change.servers, ",")},
-               {"age_ms", std::to_string(to_ms(follower_->age(loop_.now())))}});
+               {"age_ms", age_text(follower_->age(loop_.now()))}});
     gateway_->wake();
 }
 
@@ -173,7 +173,9 @@
     counts_.set_gauge("requests", static_cast<double>(router_->requests()));
     counts_.set_gauge("instances",
                       static_cast<double>(follower_->sharing_instances(now)));
-    counts_.set_gauge("directory_age_ms", to_ms(follower_->age(now)));
+    if (const auto age = follower_->age(now)) {
+        counts_.set_gauge("directory_age_ms", to_ms(*age));
+    }
     counts_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
     incoming.reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                    counts_.text());
--- a/test/unit/adapter_test.cpp
+++ b/test/unit/adapter_test.cpp
@@ -265,3 +265,11 @@
                       row.c_str());
     }
 }
+
+Test(event_log, figures_are_short_and_what_never_happened_says_so) {
+    using std::chrono::microseconds;
+    cr_assert_eq(decimal_text(66.06), "66.1");
+    cr_assert_eq(ms_text(microseconds(12'340)), "12.3");
+    cr_assert_eq(age_text(microseconds(12'340)), "12.3");
+    cr_assert_eq(age_text(std::nullopt), "never");
+}
--- a/test/unit/directory_test.cpp
+++ b/test/unit/directory_test.cpp
@@ -315,3 +315,11 @@
     }
     cr_assert_leq(reads, 60);
 }
+
+// Found in a log: the first reading began with an age of a day.
+Test(follower, store_that_was_never_read_has_no_age) {
+    follower_world world;
+    cr_assert_not(world.follower.age(start).has_value());
+    world.read_all(10, {}, start);
+    cr_assert_eq(*world.follower.age(start + seconds(2)), seconds(2));
+}
