Send malformed messages to every port of a running router

None of the tests did so for the router as a process. It goes on serving, drops the datagram and the stream on its peers' port with a line, and runs nothing of what was broken; the test passed at once, so nothing had to be mended.

--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -198,3 +198,22 @@
     assert_whole(ask(question("/safe/x", "b")), "b", 300);
     cr_assert_eq(count_lines("t1", "run b"), 1);
 }
+
+Test(router_process, malformed_messages_on_every_port_leave_it_serving) {
+    const std::vector<std::string> broken{
+        std::string("\0\0\0\5hello", 9), std::string(300, '\xff'),
+        "GET /safe/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST /once/x HTTP/9.9\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"};
+    const auto& one = router();
+    for (const auto& port :
+         {one.callers, one.readiness, one.peers, one.metrics}) {
+        for (const auto& bytes : broken) {
+            send_raw(port, bytes, 100ms);
+        }
+    }
+    cr_assert(eventually([&] {
+        return running->log_of(one).find("LB1204") != std::string::npos;
+    }));
+    assert_whole(ask(question("/safe/x", "after")), "after", 300);
+    cr_assert_eq(count_lines("s1", "run "), 1); // none of the broken ones
+}
