--- a/test/unit/placing_test.cpp
+++ b/test/unit/placing_test.cpp
@@ -134,6 +134,21 @@
     cr_assert_eq(sent[0].server, "s3");
 }
 
+// A crest that used the probes up has ended: what servers told in it is old,
+// and says nothing against a server now.
+Test(known_red, crest_that_is_over_does_not_hold_requests_without_probes) {
+    router_world world(world_without_probes());
+    for (int i = 0; i < 50; ++i) {
+        for (const auto& id : router_world::ids(4)) {
+            world.router.on_load(id, full, world.now);
+        }
+        world.now += milliseconds(20);
+    }
+    world.now += seconds(2);
+    const auto sent = router_world::pick<send_order>(world.submit(1));
+    cr_assert_eq(sent.size(), 1);
+}
+
 // A wave of slow servers: who was fast a moment ago is asked first.
 Test(placing, slow_wave_server_that_was_fast_is_asked_first) {
     router_world world({});
