--- a/include/lacewingbeam/load_memory.hpp
+++ b/include/lacewingbeam/load_memory.hpp
@@ -13,7 +13,7 @@
 
 // A sample up to this old is taken as it is: the default timeout of a round of
 // probes and some time to decide.
-inline constexpr duration current_sample = std::chrono::milliseconds(15);
+inline constexpr duration current_sample_age = std::chrono::milliseconds(15);
 
 // The last that a backend server told of its load.
 struct told_load {
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -263,8 +263,8 @@
     void wait(request_entry& request, time_point now, actions& out);
     void begin_round(request_entry& request, time_point now, actions& out);
     std::vector<const known_server*>
-    probe_order_of(const request_entry& request,
-                   const place_by_expected_time& policy, time_point now);
+    servers_to_probe(const request_entry& request,
+                     const place_by_expected_time& policy, time_point now);
     void send_probes(request_entry& request,
                      const place_by_expected_time& policy, time_point now,
                      actions& out);
--- a/src/decisions/placing/load_memory.cpp
+++ b/src/decisions/placing/load_memory.cpp
@@ -81,7 +81,7 @@
     load.running = sample.running + told->sent_since;
     load.waiting = sample.waiting;
     load.slowness = sample.slowness;
-    if (told->age <= current_sample) {
+    if (told->age <= current_sample_age) {
         return load;
     }
     // Requests end after about their work; others come in their place.
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -298,7 +298,7 @@
         const auto view = view_of(request, *server, now);
         scored_server item;
         item.id = server->info.id;
-        item.told = now - entry.load_at <= current_sample;
+        item.told = now - entry.load_at <= current_sample_age;
         item.expected_ms = expected_time_ms(view);
         item.cost_ms = placement_cost_ms(view) * spread(engine_);
         item.useful_slot = may_use(request, view, now);
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -53,9 +53,9 @@
 
 // The request's servers that may be asked, the most promising first.
 std::vector<const known_server*>
-request_router::probe_order_of(const request_entry& request,
-                               const place_by_expected_time& policy,
-                               time_point now) {
+request_router::servers_to_probe(const request_entry& request,
+                                 const place_by_expected_time& policy,
+                                 time_point now) {
     boost::random::uniform_real_distribution<double> spread(1,
                                                             1 + probe_spread);
     std::vector<std::pair<double, const known_server*>> ranked;
@@ -82,7 +82,7 @@
     const bool first = request.probed == 0;
     const auto count = first ? std::min(policy.first_probes, policy.probes)
                              : policy.probes - request.probed;
-    const auto servers = probe_order_of(request, policy, now);
+    const auto servers = servers_to_probe(request, policy, now);
     request.pending.clear();
     unsigned sent = 0;
     for (const auto* server : servers) {
