Look up a request's usual work once for each server that is weighed

view_of looked it up twice (two maps by name) for every candidate, in each round of probes and each decision. Behaviour is unchanged; router-test 87 passed.

--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -108,12 +108,12 @@
     const auto& entry = entry_of(server.info.id);
     const auto& service = entry_of_service(request.service);
     placement_view view;
+    view.work_ms = work_of(request);
     view.load = service.memory.expect(told_by(entry, now), server.info.slots,
-                                      entry.in_flight, work_of(request));
+                                      entry.in_flight, view.work_ms);
     view.cold = now < server.cold_until;
     view.same_domain = server.info.failure_domain == options_.failure_domain;
     view.distrust = distrust_of(entry, now);
-    view.work_ms = work_of(request);
     view.objective_ms = to_ms(request.objective);
     const auto size = service.answer_kb.find(request.route);
     view.answer_kb = size == service.answer_kb.end() ? 0 : size->second;
