Log how old the routes are, what brought them, and delays of the event loop

Reads are now tracked from their start: a response contains what the store had accepted when the read was sent, whenever it is processed. Peers say in each update and heartbeat which routes they hold and how old these are, and a message ages while it waits to be sent or received. LB1101 gives routes_age_ms and from, LB1008 loop_delayed tells when the event loop was not run, and the metrics routes_age_ms and max_loop_delay_ms show both.

Nothing is decided by the new age yet.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -3,6 +3,7 @@
 
 #include "core.hpp"
 #include "directory.hpp"
+#include "freshness.hpp"
 #include "membership.hpp"
 #include "peer_messages.hpp"
 
@@ -21,9 +22,6 @@
 // updates stop arriving.
 namespace lacewingbeam {
 
-enum class store_table { routing, servers };
-inline constexpr std::size_t store_table_count = 2;
-
 // Requests all rows of a table from the store.
 struct read_snapshot {
     store_table table{};
@@ -99,10 +97,16 @@
         options_.reading = options;
     }
 
+    // The first bytes of the store's response to a read have been received.
+    void on_response_started(store_table table) {
+        freshness_.on_response_started(table);
+    }
+
     // Process the store's response to a read.
     actions on_page(const store_page& page, time_point now);
     actions on_failed(store_table table, store_failure failure, time_point now);
 
+    // The ages in the message must include the time since it was sent.
     actions on_message(const std::string& from, const peer_message& message,
                        time_point now);
 
@@ -127,6 +131,14 @@
     // peer that sent an update, or nullopt before the first read.
     std::optional<duration> age(time_point now) const;
 
+    // Returns the time since the routes held were last known to be the newest,
+    // or nullopt if they never were.
+    std::optional<duration> routes_age(time_point now) const;
+
+    // Returns what brought the last rows: the address of a peer, "peer" if the
+    // address is unknown, or "store".
+    const std::string& changed_by() const { return changed_by_; }
+
     // Returns the rank of this instance in the order in which active instances
     // become readers of the store.
     std::size_t reader_rank(time_point now) const;
@@ -192,7 +204,7 @@
     void request_from_seeds(time_point now, actions& out);
     void request_rows(const std::string& from, const table_rows& rows,
                       time_point now, actions& out);
-    void start_read(store_table table, actions& out);
+    void start_read(store_table table, time_point now, actions& out);
     std::vector<raw_row> drop_unchanged(std::vector<raw_row> rows) const;
     void complete_direct_read(time_point now, actions& out);
     void add_missing_tombstones(const store_page& page,
@@ -208,9 +220,13 @@
                        time_point now, actions& out);
     void send_heartbeats(time_point now, actions& out);
     std::optional<time_point> last_store_read_at() const;
+    void set_routes_age(table_rows& message, time_point now) const;
+    void note_peer_routes(std::uint64_t revision, duration age, time_point now);
 
     follower_options options_;
     directory directory_;
+    freshness_tracker freshness_;
+    std::string changed_by_;
     membership members_;
     random_engine engine_;
     time_point started_at_;
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -38,7 +38,7 @@
 struct heartbeat {
     member sender;
     std::uint64_t sequence = 0;
-    std::uint64_t table_version = 0;
+    std::uint64_t table_version = 0; // of the routes, between routers
     duration table_age{}; // since the platform last confirmed the table
     std::vector<server_load> loads;
     std::vector<leaving_server> leaving;
@@ -60,9 +60,11 @@
     duration age{};
     std::vector<raw_row> rows;
     std::vector<row_delta> deltas;
-    std::size_t omitted_bytes = 0; // size of rows too large for a message
-    bool has_more = false;         // newer rows remain to be requested
-    std::uint64_t digest = 0;      // of all directory rows; 0 without one
+    std::size_t omitted_bytes = 0;    // size of rows too large for a message
+    bool has_more = false;            // newer rows remain to be requested
+    std::uint64_t digest = 0;         // of all directory rows; 0 without one
+    std::uint64_t routes_version = 0; // revision of the routes; 0 without them
+    duration routes_age{}; // since they were last known to be the newest
     // The instance that read these rows from the platform and announces them
     // to all peers; nullopt in an answer to a request.
     std::optional<incarnation> origin;
@@ -70,6 +72,10 @@
 
 using peer_message = std::variant<heartbeat, table_request, table_rows>;
 
+// Adds time that passed before a message was sent or received to the ages of
+// what it says about the store.
+void add_delay(peer_message& message, duration delay);
+
 } // namespace lacewingbeam
 
 #endif
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -79,6 +79,10 @@
   // Total size in bytes of the rows that the sender holds but omitted because
   // of their size.
   9: i32 left_out,
+  // Revision of the routes that the sender holds, or 0, and the time since they
+  // were last known to be the newest.
+  10: i64 routes_version,
+  11: i32 routes_age_ms,
 }
 
 struct peer_message {
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 30> catalogue{{
+constexpr std::array<event_description, 31> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -27,6 +27,9 @@
      "The settings were reloaded and applied."},
     {event_number::reload_failed, log_level::warning, "reload_failed",
      "The changed settings are invalid; the previous ones remain in effect."},
+    {event_number::loop_delayed, log_level::warning, "loop_delayed",
+     "The event loop was busy or not scheduled; messages and connections "
+     "waited."},
     {event_number::table_changed, log_level::info, "table_changed",
      "A newer version of the operators' table was applied."},
     {event_number::table_row_rejected, log_level::warning, "table_row_rejected",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -24,6 +24,7 @@
     start_failed = 1004,
     reloaded = 1006,
     reload_failed = 1007,
+    loop_delayed = 1008,
     table_changed = 1101,
     table_row_rejected = 1102,
     platform_failed = 1103,
--- a/src/adapters/peer_link.hpp
+++ b/src/adapters/peer_link.hpp
@@ -39,7 +39,9 @@
     // Sends without blocking; a message that cannot be sent is dropped.
     void send(const std::string& peer_address, const peer_message& message);
 
-    // A message was received, with the address to reply to (empty for TCP).
+    // A message was received, with the address to reply to (empty for TCP). The
+    // ages in it include the longest time that it can have waited here for the
+    // event loop.
     sigc::signal<void(const std::string&, const peer_message&)> received;
 
     // A message was dropped, with the sender's address and the reason.
@@ -50,6 +52,7 @@
         peer_link* link = nullptr;
         bufferevent* handle = nullptr;
         time_point opened_at;
+        time_point sent_after; // earliest time that the peer can have connected
         ~stream();
     };
 
@@ -57,7 +60,8 @@
     void bind(const std::string& ip, std::uint16_t port);
     bool listen(const std::string& ip);
     void receive();
-    void handle_message(const std::string& from, std::string_view bytes);
+    void handle_message(const std::string& from, std::string_view bytes,
+                        time_point sent_after);
     void send_frame(const endpoint& to, std::string_view bytes);
     void close_later(bufferevent* handle);
     void close_expired_streams();
@@ -74,6 +78,9 @@
     event_loop& loop_;
     std::string key_;
     std::string ip_;
+    // The time at which no datagram was waiting. Those received later were sent
+    // after it.
+    time_point drained_at_;
     int socket_ = -1;
     std::uint16_t port_ = 0;
     event_handle readable_;
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -205,6 +205,8 @@
             rows.deltas.push_back(to_wire(item));
         }
         rows.left_out = static_cast<std::int32_t>(value.omitted_bytes);
+        rows.routes_version = static_cast<std::int64_t>(value.routes_version);
+        rows.routes_age_ms = clamp_ms(value.routes_age);
         out.__set_rows(rows);
     }
 };
@@ -252,6 +254,8 @@
     }
     rows.omitted_bytes =
         static_cast<std::size_t>(std::max<std::int32_t>(0, value.left_out));
+    rows.routes_version = static_cast<std::uint64_t>(value.routes_version);
+    rows.routes_age = from_ms(value.routes_age_ms);
     return rows;
 }
 
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -115,6 +115,11 @@
                : *servers.last_success_at;
 }
 
+std::optional<duration> directory_follower::routes_age(time_point now) const {
+    const auto as_of = freshness_.routes_as_of();
+    return as_of ? std::optional(now - *as_of) : std::nullopt;
+}
+
 std::optional<duration> directory_follower::age(time_point now) const {
     const auto latest = std::max(last_store_read_at(), peer_read_at_);
     if (!latest) {
@@ -163,14 +168,16 @@
                                  unknown ? assumed_instances_at_start : 1);
 }
 
-void directory_follower::start_read(store_table table, actions& out) {
+void directory_follower::start_read(store_table table, time_point now,
+                                    actions& out) {
     auto& state = state_of(table);
     state.read_in_flight = true;
+    const bool long_poll = state.position && table == store_table::routing;
+    freshness_.on_read_started(table, long_poll, now);
     if (!state.position) {
         out.emplace_back(read_snapshot{table});
         return;
     }
-    const bool long_poll = table == store_table::routing;
     out.emplace_back(
         read_changes{table, *state.position,
                      long_poll ? options_.long_poll_timeout : duration{}});
@@ -193,7 +200,7 @@
         auto& state = state_of(table);
         if (reading_ && !state.read_in_flight && now >= state.next_read &&
             !waits_for_other_table(table)) {
-            start_read(table, out);
+            start_read(table, now, out);
         }
     }
     auto& routing = state_of(store_table::routing);
@@ -202,6 +209,7 @@
         direct_read_due_.reset();
         routing.read_in_flight = true;
         direct_read_in_flight_ = true;
+        freshness_.on_read_started(store_table::routing, false, now);
         out.emplace_back(read_snapshot{store_table::routing});
     }
     if (now >= next_heartbeat_) {
@@ -371,7 +379,9 @@
     defer_removals(state, rows, now);
     const bool has_update = !rows.empty() || page.table == store_table::servers;
     auto deltas = compute_deltas(rows);
+    changed_by_ = "store";
     apply(rows, now);
+    freshness_.on_read_completed(page.table);
     const bool direct_read = page.table == store_table::routing &&
                              std::exchange(direct_read_in_flight_, false);
     if (direct_read && !reading_) {
@@ -414,6 +424,7 @@
                                                           time_point now) {
     auto& state = state_of(table);
     state.read_in_flight = false;
+    freshness_.on_read_failed(table);
     if (failure == store_failure::history_compacted) {
         state.position.reset();
         state.next_read = now;
@@ -444,6 +455,10 @@
     beat.sender = members_.own();
     beat.sequence = ++heartbeat_sequence_;
     beat.members = members_.sample(gossip_members, engine_, now);
+    if (const auto routes_age = this->routes_age(now)) {
+        beat.table_version = directory_.revision_of(routing_row_key);
+        beat.table_age = *routes_age;
+    }
     for (auto& target : members_.heartbeat_targets(now)) {
         out.emplace_back(send_to_peer{std::move(target), beat});
     }
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -97,6 +97,7 @@
     message.origin = options_.own.id;
     message.request_number = ++update_number_;
     message.table_version = complete_revision_ = read_revision();
+    set_routes_age(message, now);
     relay(std::move(message), now, out);
 }
 
@@ -157,11 +158,14 @@
         const bool known = members_.find(beat->sender.id, now).has_value();
         members_.on_heartbeat(beat->sender, beat->sequence, now);
         members_.on_gossip(beat->members, now);
+        note_peer_routes(beat->table_version, beat->table_age, now);
         if (!known && now - started_at_ < peer_discovery_period) {
             next_heartbeat_ = now; // helps starting peers find members
         }
     } else if (const auto* rows = std::get_if<table_rows>(&message)) {
+        changed_by_ = from.empty() ? "peer" : from;
         on_table_rows(from, *rows, now, out);
+        note_peer_routes(rows->routes_version, rows->routes_age, now);
     } else {
         const auto& request = std::get<table_request>(message);
         table_rows answer;
@@ -173,6 +177,7 @@
         }
         answer.digest = directory_.digest();
         answer.table_version = complete_revision_;
+        set_routes_age(answer, now);
         if (directory_.routing() == nullptr) {
             return out; // nothing to send yet
         }
@@ -218,6 +223,25 @@
     }
 }
 
+// Tells peers which routes this instance holds, and how old they are.
+void directory_follower::set_routes_age(table_rows& message,
+                                        time_point now) const {
+    if (const auto age = routes_age(now)) {
+        message.routes_version = directory_.revision_of(routing_row_key);
+        message.routes_age = *age;
+    }
+}
+
+// Handles a peer's statement that routes of this revision were the newest `age`
+// ago.
+void directory_follower::note_peer_routes(std::uint64_t revision, duration age,
+                                          time_point now) {
+    if (revision != 0) {
+        freshness_.on_peer_routes(
+            directory_.revision_of(routing_row_key) >= revision, now - age);
+    }
+}
+
 // Applies the rows and deltas of a peer's update.
 void directory_follower::apply_update(const table_rows& rows, time_point now) {
     apply(rows.rows, now);
@@ -271,7 +295,10 @@
     const bool may_relay =
         pending_update_ && pending_update_->rows.omitted_bytes == 0;
     if (may_relay && pending_update_->rows.digest == directory_.digest()) {
-        relay(pending_update_->rows, now, out);
+        auto update = pending_update_->rows;
+        update.age += now - pending_update_->at;
+        update.routes_age += now - pending_update_->at;
+        relay(std::move(update), now, out);
     }
     pending_update_.reset();
 }
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -37,18 +37,18 @@
     : loop_(loop), platform_(platform), follower_(follower), peers_(peers),
       metrics_(registry), options_(std::move(options)),
       pool_(loop, make_pool_options(options_.request_timeout)) {
-    timer_ = loop.make_timer(
-        [this] { execute_all(follower_.on_tick(loop_.now())); });
+    timer_ = loop.make_timer([this] {
+        const auto now = loop_.now();
+        execute_all(follower_.on_tick(now), now);
+    });
     for (const auto table : {store_table::routing, store_table::servers}) {
-        state_of(table).timeout = loop.make_timer([this, table] {
-            pool_.cancel(state_of(table).exchange);
-            on_read_failed(table, "request timed out",
-                           store_failure::unreachable);
-        });
+        state_of(table).timeout =
+            loop.make_timer([this, table] { on_read_timeout(table); });
     }
     peers_.received.connect(
         [this](const std::string& from, const peer_message& message) {
-            execute_all(follower_.on_message(from, message, loop_.now()));
+            const auto now = loop_.now();
+            execute_all(follower_.on_message(from, message, now), now);
         });
 }
 
@@ -57,16 +57,20 @@
 }
 
 void directory_sync::start() {
-    execute_all(follower_.on_tick(loop_.now()));
+    const auto now = loop_.now();
+    execute_all(follower_.on_tick(now), now);
 }
 
 void directory_sync::begin_stop() {
-    execute_all(follower_.begin_stop(loop_.now()));
+    const auto now = loop_.now();
+    execute_all(follower_.begin_stop(now), now);
 }
 
-void directory_sync::execute_all(const directory_follower::actions& actions) {
+void directory_sync::execute_all(const directory_follower::actions& actions,
+                                 time_point decided_at) {
     for (const auto& item : actions) {
-        std::visit([this](const auto& action) { execute(action); }, item);
+        std::visit([&](const auto& action) { execute(action, decided_at); },
+                   item);
     }
     publish_changes();
     log_reader_change();
@@ -100,16 +104,20 @@
     }
 }
 
-void directory_sync::execute(const send_to_peer& action) {
-    peers_.send(action.peer_address, action.message);
+// The ages in the message are those at the time of the decision.
+void directory_sync::execute(const send_to_peer& action,
+                             time_point decided_at) {
+    auto message = action.message;
+    add_delay(message, loop_.now() - decided_at);
+    peers_.send(action.peer_address, message);
 }
 
-void directory_sync::execute(const read_snapshot& action) {
+void directory_sync::execute(const read_snapshot& action, time_point) {
     state_of(action.table).earlier_pages.reset();
     start_read(action.table, platform_.snapshot_target(action, {}), true, {});
 }
 
-void directory_sync::execute(const read_changes& action) {
+void directory_sync::execute(const read_changes& action, time_point) {
     start_read(action.table, platform_.changes_target(action), false,
                action.wait);
 }
@@ -120,19 +128,24 @@
     read.snapshot = snapshot;
     read.body.clear();
     read.status = 0;
+    read.ended = false;
     http_request request;
     request.target = target;
     exchange_events events;
-    events.head = [&read](const http_response_head& head) {
+    events.head = [this, &read, table](const http_response_head& head) {
         read.status = head.status;
+        follower_.on_response_started(table);
     };
     events.body = [&read](std::string_view chunk) {
         if (read.body.size() + chunk.size() <= max_response_bytes) {
             read.body += chunk;
         }
     };
-    events.end = [this, table] {
-        on_read_end(table);
+    events.end = [this, table, &read] {
+        read.ended = true;
+        // Deferred until the responses received meanwhile have been noted: an
+        // unanswered long poll confirms the routes.
+        loop_.defer([this, table] { on_read_end(table); });
     };
     events.failed = [this, table](const exchange_failure&) {
         on_read_failed(table, "connection failed", store_failure::unreachable);
@@ -143,6 +156,15 @@
                     {store_connections, duration::max()}, std::move(events));
 }
 
+void directory_sync::on_read_timeout(store_table table) {
+    auto& read = state_of(table);
+    if (read.ended) {
+        return;
+    }
+    pool_.cancel(read.exchange);
+    on_read_failed(table, "request timed out", store_failure::unreachable);
+}
+
 void directory_sync::on_read_end(store_table table) {
     auto& read = state_of(table);
     if (read.status == status_gone) {
@@ -195,7 +217,8 @@
                   {{"table", std::string(table_name(table))},
                    {"revision", std::to_string(response.page.revision)}});
     }
-    execute_all(follower_.on_page(response.page, loop_.now()));
+    const auto now = loop_.now();
+    execute_all(follower_.on_page(response.page, now), now);
 }
 
 void directory_sync::on_read_failed(store_table table, std::string_view reason,
@@ -212,7 +235,8 @@
                    {"reason", std::string(reason)},
                    {"age_ms", age_text(follower_.age(loop_.now()))}});
     }
-    execute_all(follower_.on_failed(table, failure, loop_.now()));
+    const auto now = loop_.now();
+    execute_all(follower_.on_failed(table, failure, now), now);
 }
 
 } // namespace lacewingbeam
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -21,6 +21,9 @@
 constexpr int status_unavailable = 503;
 
 constexpr duration instance_update_interval = milliseconds(250);
+
+// Longer delays of the event loop are logged.
+constexpr duration reported_loop_delay = milliseconds(500);
 constexpr duration stop_check_interval = milliseconds(50);
 
 // The interval between checks for a settings file that was replaced without a
@@ -105,8 +108,11 @@
 
 void router_process::run() {
     std::signal(SIGPIPE, SIG_IGN);
-    instance_update_timer_ =
-        loop_.every(instance_update_interval, [this] { update_instances(); });
+    instance_update_timer_ = loop_.every(instance_update_interval, [this] {
+        check_loop_delay();
+        update_instances();
+    });
+    last_loop_check_at_ = loop_.now();
     term_signal_ = loop_.on_signal(SIGTERM, [this] { begin_stop(); });
     reload_signal_ = loop_.on_signal(SIGHUP, [this] { reload(); });
     settings_check_timer_ = loop_.every(settings_check_interval, [this] {
@@ -143,6 +149,20 @@
     }
 }
 
+void router_process::check_loop_delay() {
+    const auto now = loop_.now();
+    const auto delay = now - last_loop_check_at_ - instance_update_interval;
+    last_loop_check_at_ = now;
+    max_loop_delay_ = std::max(max_loop_delay_, delay);
+    if (delay > reported_loop_delay) {
+        log_event(
+            event_number::loop_delayed,
+            {{"delay_ms", ms_text(delay)},
+             {"requests", std::to_string(gateway_->request_count())},
+             {"peer_messages", std::to_string(peer_link_.counts().received)}});
+    }
+}
+
 void router_process::update_instances() {
     router_->set_instances(follower_->estimated_instance_count(loop_.now()));
 }
@@ -158,7 +178,9 @@
               {{"version", routing == nullptr ? "-" : routing->version},
                {"servers", std::to_string(view.server_count())},
                {"changed", boost::algorithm::join(change.servers, ",")},
-               {"age_ms", age_text(follower_->age(loop_.now()))}});
+               {"age_ms", age_text(follower_->age(loop_.now()))},
+               {"routes_age_ms", age_text(follower_->routes_age(loop_.now()))},
+               {"from", follower_->changed_by()}});
     gateway_->on_directory_changed();
 }
 
@@ -181,6 +203,10 @@
     if (const auto age = follower_->age(now)) {
         metrics_.set_gauge("directory_age_ms", to_ms(*age));
     }
+    if (const auto age = follower_->routes_age(now)) {
+        metrics_.set_gauge("routes_age_ms", to_ms(*age));
+    }
+    metrics_.set_gauge("max_loop_delay_ms", to_ms(max_loop_delay_));
     metrics_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
     incoming.reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.text());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -32,6 +32,7 @@
     void handle_readiness(incoming_request& incoming);
     void handle_metrics(incoming_request& incoming);
     void update_instances();
+    void check_loop_delay();
     void reload();
     void begin_stop();
     void stop_if_done();
@@ -54,6 +55,8 @@
     scoped_event term_signal_;
     scoped_event reload_signal_;
     scoped_event settings_check_timer_;
+    time_point last_loop_check_at_;
+    duration max_loop_delay_{};
     std::optional<time_point> stopping_since_;
     time_point last_unsent_at_; // last time that a response had unsent bytes
 };
