Show that peers of a slow reader keep outdated routes (known to fail)

Callers saw requests sent to services that a replaced version named, and 404 for routes that had been added.

A reader that takes 3 s to process the routes reads the servers quickly meanwhile and announces its directory with the age of that read, 0 ms; its 59 peers therefore do not read the store and keep routes replaced more than 2.5 s before.

--- a/test/unit/directory_test.cpp
+++ b/test/unit/directory_test.cpp
@@ -290,6 +290,25 @@
     cr_assert(other.follower.view().available("one").empty());
 }
 
+// Regression test: the age that peers were told was that of the servers table,
+// while the routes were still being read.
+Test(known_red, update_is_as_old_as_the_oldest_table_in_it) {
+    follower_fixture reader(1);
+    reader.read_all(5, {make_row(make_server("s"), 2)}, start);
+    heartbeat beat;
+    beat.sender = make_member(2);
+    beat.sequence = 1;
+    reader.follower.on_message("127.0.0.1:2", beat, start);
+    reader.follower.on_tick(start); // starts the long poll of the routes
+    reader.follower.on_response_started(store_table::routing);
+    const auto now = start + seconds(3);
+    reader.follower.on_tick(now);
+    const auto sent = actions_of<send_to_peer>(
+        reader.follower.on_page({store_table::servers, false, 9, {}}, now));
+    cr_assert_eq(sent.size(), 1);
+    cr_assert_geq(std::get<table_rows>(sent[0].message).age, seconds(3));
+}
+
 Test(follower, unchanged_registrations_are_not_reported) {
     follower_fixture fixture;
     fixture.read_all(5, {make_row(make_server("s"), 2)}, start);
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -3,7 +3,9 @@
 
 #include <boost/random/bernoulli_distribution.hpp>
 #include <criterion/criterion.h>
+#include <map>
 #include <memory>
+#include <optional>
 
 // Tests how updates propagate between many instances when messages are lost and
 // instances are killed.
@@ -103,6 +105,37 @@
         return count;
     }
 
+    // Makes an instance take this long to process routes read from the store.
+    void slow_down(std::size_t node, duration processing_time) {
+        slow_node_ = node;
+        processing_time_ = processing_time;
+    }
+
+    std::size_t first_reader() const {
+        std::size_t i = 0;
+        while (i < nodes_.size() && !nodes_[i]->is_reading()) {
+            ++i;
+        }
+        return i;
+    }
+
+    // Counts the instances, except the slow one, whose routes were replaced
+    // more than `limit` ago.
+    std::size_t count_with_outdated_routes(duration limit) const {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            const auto* routes = nodes_[i]->view().routing();
+            const auto next =
+                routes == nullptr
+                    ? edited_at_.end()
+                    : edited_at_.upper_bound(std::stoul(routes->version));
+            const bool outdated =
+                next != edited_at_.end() && next->second + limit < now;
+            count += i != slow_node_ && alive[i] && outdated ? 1 : 0;
+        }
+        return count;
+    }
+
     void kill_readers() {
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             alive[i] = alive[i] && !nodes_[i]->is_reading();
@@ -112,10 +145,11 @@
     // Publishes the next version of the routes, with `count` routes.
     void edit_routes(std::size_t count) {
         ++edits_;
+        edited_at_[edits_] = now;
         routes_ = count;
         routes_changed_at_ = ++revision_;
         for (auto& item : answers_) {
-            if (item.table == store_table::routing) {
+            if (item.table == store_table::routing && !item.page) {
                 item.at = now + link_delay; // ends the long poll
             }
         }
@@ -145,6 +179,7 @@
         store_table table{};
         bool snapshot = false;
         std::uint64_t after = 0;
+        std::optional<store_page> page; // received and not processed yet
     };
 
     routing_table make_routes() const {
@@ -251,6 +286,14 @@
             }
         }
         std::vector<answer> due_answers;
+        for (auto& item : answers_) {
+            if (item.at <= now && item.to == slow_node_ && !item.page &&
+                item.table == store_table::routing) {
+                item.page = make_page(item.table, item.snapshot, item.after);
+                item.at = now + processing_time_;
+                nodes_[item.to]->on_response_started(item.table);
+            }
+        }
         std::erase_if(answers_, [&](const answer& item) {
             if (item.at <= now) {
                 due_answers.push_back(item);
@@ -264,7 +307,9 @@
                             item.table, store_failure::unreachable, now));
             } else if (alive[item.to]) {
                 const auto page =
-                    make_page(item.table, item.snapshot, item.after);
+                    item.page
+                        ? *item.page
+                        : make_page(item.table, item.snapshot, item.after);
                 execute(item.to, nodes_[item.to]->on_page(page, now));
             }
         }
@@ -284,6 +329,9 @@
     std::size_t refused_from_ = 1000;
     std::uint64_t server_changed_at_ = 5;
     bool server_leaving_ = false;
+    std::map<std::size_t, time_point> edited_at_; // by version
+    std::size_t slow_node_ = 1000;
+    duration processing_time_{};
 
 public:
     std::vector<bool> alive;
@@ -383,6 +431,19 @@
     cr_assert_eq(cluster.count_with_server(), 0);
 }
 
+// Regression test: a reader that was late with the routes announced them with
+// the age of its last read of the servers, so its peers did not read the store.
+Test(known_red, slow_reader_does_not_keep_peers_on_outdated_routes) {
+    simulated_cluster cluster(60, 0.01);
+    cluster.run_until(start + seconds(10));
+    cluster.slow_down(cluster.first_reader(), seconds(3));
+    for (int i = 0; i < 20; ++i) {
+        cluster.edit_routes(400);
+        cluster.run_until(cluster.now + milliseconds(400));
+        cr_assert_eq(cluster.count_with_outdated_routes(milliseconds(2500)), 0);
+    }
+}
+
 Test(spread, small_installation_has_one_reader) {
     simulated_cluster cluster(13, 0);
     cluster.run_until(start + seconds(10));
