Decide requests only by routes known to be the newest lately

Callers saw requests sent to services that a replaced version named and 404 for routes that had been added, seconds after the edit was acknowledged.

Cause: the age of a directory was the age of its read of the servers table, counted from the end of that read. A reader that was late with the routes announced them as milliseconds old, its peers took that as confirmation and did not read the store, and nothing bounded how long an instance decided by routes that nobody had confirmed.

Change: an age is that of the oldest table, counted from the start of the read that confirmed it. Routes decide requests while they are confirmed within max_routes_age, which is the platform's bound for edits. Afterwards requests wait up to 150 ms for a confirmation and are then refused as not run, and the instance is not ready. While this instance's reads fail and no peer tells of a recent successful one, the last routes stay in force.

Left: the cost of applying edits, and full rows sent between peers.

--- a/include/lacewingbeam/directory.hpp
+++ b/include/lacewingbeam/directory.hpp
@@ -77,6 +77,13 @@
         return routing_ ? &*routing_ : nullptr;
     }
 
+    // Requests are decided by the routes until this time, after which they may
+    // no longer be the newest. Unlimited until it is set.
+    void set_routes_valid_until(time_point time) { routes_valid_until_ = time; }
+    bool routes_valid_at(time_point now) const {
+        return routing_ && now <= routes_valid_until_;
+    }
+
     // Returns null if the server is unknown or was removed.
     const known_server* find(std::string_view id) const;
 
@@ -103,6 +110,7 @@
     std::map<std::string, stored_row, std::less<>> rows_;
     std::uint64_t digest_ = 0;
     std::optional<routing_table> routing_;
+    time_point routes_valid_until_ = time_point::max();
     std::map<std::string, known_server, std::less<>> servers_;
     std::map<std::string, std::set<std::string>, std::less<>> by_service_;
 };
--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -66,6 +66,10 @@
     // Time without updates after which an instance reads the store itself.
     duration silence = std::chrono::milliseconds(1250);
 
+    // Age above which routes no longer decide requests, unless the store
+    // answers no instance.
+    duration max_routes_age = std::chrono::milliseconds(2000);
+
     // Time after an outage of the store for which removals are deferred.
     duration return_hold = std::chrono::milliseconds(2200);
 };
@@ -186,6 +190,8 @@
 
     table_state& state_of(store_table table);
     const table_state& state_of(store_table table) const;
+    bool is_store_unavailable(time_point now) const;
+    void update_routes_validity(time_point now);
     bool is_in_outage(const table_state& state, time_point now) const;
     bool should_read(time_point now) const;
     bool waits_for_other_table(store_table table) const;
@@ -219,7 +225,6 @@
     void on_table_rows(const std::string& from, const table_rows& rows,
                        time_point now, actions& out);
     void send_heartbeats(time_point now, actions& out);
-    std::optional<time_point> last_store_read_at() const;
     void set_routes_age(table_rows& message, time_point now) const;
     void note_peer_routes(std::uint64_t revision, duration age, time_point now);
 
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -178,6 +178,10 @@
 
     std::size_t requests() const { return requests_.size(); }
 
+    // Returns true if on_tick must be called when the directory was changed or
+    // confirmed.
+    bool waits_for_directory() const { return !early_requests_.empty(); }
+
 private:
     struct server_entry {
         std::optional<server_load_sample> load;
@@ -239,6 +243,7 @@
         bool fresh = false; // sampled within max_fresh_sample_age
     };
 
+    bool can_decide(time_point now) const;
     static const std::string& pick_service(const route& chosen,
                                            random_engine& engine);
     server_entry& entry_of(const std::string& id);
@@ -303,7 +308,8 @@
     std::optional<time_point> hedge_due(const request_entry& request) const;
     time_point due_of(const request_entry& request) const;
 
-    // A request that arrived before the directory was loaded.
+    // A request that arrived before the directory was loaded, or while its
+    // routes may be outdated.
     struct early_request {
         routed_request request;
         time_point arrived;
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -85,6 +85,7 @@
   3: i32 request_timeout = 600 (unit = "ms", min = "50", max = "10000", help = "timeout of a store request, in addition to the wait time that the request asks for"),
   4: i32 readers = 1 (unit = "count", min = "1", max = "1000", help = "number of instances that read the store in normal operation; they send the changes to the others"),
   5: i32 silence = 1250 (unit = "ms", min = "50", max = "10000", help = "time without a message from a reader after which an instance reads the store itself"),
+  8: i32 max_routes_age = 2000 (unit = "ms", min = "100", max = "600000", help = "time since the routes were last known to be the newest after which requests are rejected, unless the store answers no instance"),
   7: i32 seed_patience = 30 (unit = "ms", min = "0", max = "60000", help = "time that a starting instance waits for its seeds before it reads the store itself"),
   6: i32 return_hold = 2200 (unit = "ms", min = "0", max = "60000", help = "time for which entries that expired during a store outage are kept after the store is available again"),
 }
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -21,6 +21,10 @@
 // spread over this fraction of seed_patience after it has passed.
 constexpr double seed_patience_jitter = 0.5;
 
+// The time for which routes stay in force after each check that finds the store
+// unavailable. Checks follow each other at the interval of heartbeats.
+constexpr duration outage_validity = milliseconds(1500);
+
 constexpr duration initial_retry_delay = milliseconds(100);
 constexpr duration max_retry_delay = milliseconds(800);
 
@@ -102,26 +106,37 @@
     return state.failing_since && now - *state.failing_since > min_outage;
 }
 
-// A read of the routes is a long poll, so its last success is only considered
-// while reads fail.
-std::optional<time_point> directory_follower::last_store_read_at() const {
-    const auto& routing = state_of(store_table::routing);
-    const auto& servers = state_of(store_table::servers);
-    if (!routing.last_success_at || !servers.last_success_at) {
-        return std::nullopt;
-    }
-    return routing.failing_since
-               ? std::min(*routing.last_success_at, *servers.last_success_at)
-               : *servers.last_success_at;
-}
-
 std::optional<duration> directory_follower::routes_age(time_point now) const {
     const auto as_of = freshness_.routes_as_of();
     return as_of ? std::optional(now - *as_of) : std::nullopt;
 }
 
+// Returns true if this instance's reads fail and no peer has told of a recent
+// one that succeeded.
+bool directory_follower::is_store_unavailable(time_point now) const {
+    const auto answered_at = freshness_.store_answered_at();
+    const bool answers_others =
+        answered_at && now - *answered_at <= options_.reading.max_routes_age;
+    const bool own_reads_fail = state_of(store_table::routing).failing_since ||
+                                state_of(store_table::servers).failing_since;
+    return own_reads_fail && !answers_others;
+}
+
+// An instance that was told of newer routes, or was not told anything, while
+// the store answers others must not decide by routes that may be outdated.
+// During an outage of the store, the last known routes stay in force.
+void directory_follower::update_routes_validity(time_point now) {
+    const auto as_of = freshness_.routes_as_of();
+    auto valid_until =
+        as_of ? *as_of + options_.reading.max_routes_age : time_point();
+    if (is_store_unavailable(now)) {
+        valid_until = std::max(valid_until, now + outage_validity);
+    }
+    directory_.set_routes_valid_until(valid_until);
+}
+
 std::optional<duration> directory_follower::age(time_point now) const {
-    const auto latest = std::max(last_store_read_at(), peer_read_at_);
+    const auto latest = std::max(freshness_.own_reads_as_of(), peer_read_at_);
     if (!latest) {
         return std::nullopt;
     }
@@ -145,7 +160,7 @@
 
 bool directory_follower::should_read(time_point now) const {
     if (directory_.routing() == nullptr ||
-        !(peer_read_at_ || last_store_read_at())) {
+        !(peer_read_at_ || freshness_.own_reads_as_of())) {
         return now >= startup_read_at_;
     }
     const auto rank = reader_rank(now);
@@ -193,6 +208,7 @@
 
 directory_follower::actions directory_follower::on_tick(time_point now) {
     actions out;
+    update_routes_validity(now);
     apply_deferred_removals(now, out);
     request_from_seeds(now, out);
     reading_ = should_read(now);
@@ -382,6 +398,7 @@
     changed_by_ = "store";
     apply(rows, now);
     freshness_.on_read_completed(page.table);
+    update_routes_validity(now);
     const bool direct_read = page.table == store_table::routing &&
                              std::exchange(direct_read_in_flight_, false);
     if (direct_read && !reading_) {
@@ -440,6 +457,7 @@
     state.next_read =
         now + duration(static_cast<duration::rep>(
                   static_cast<double>(delay.count()) * spread(engine_)));
+    update_routes_validity(now);
     actions out;
     const bool direct_read = table == store_table::routing &&
                              std::exchange(direct_read_in_flight_, false);
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -83,8 +83,9 @@
                                         std::vector<row_delta> deltas,
                                         time_point now, actions& out) {
     table_rows message;
-    message.age = last_store_read_at() ? now - *last_store_read_at()
-                                       : duration::max() / 2;
+    message.age = freshness_.own_reads_as_of()
+                      ? now - *freshness_.own_reads_as_of()
+                      : duration::max() / 2;
     std::erase_if(rows, [&](const raw_row& row) {
         return std::any_of(
             deltas.begin(), deltas.end(),
@@ -159,6 +160,7 @@
         members_.on_heartbeat(beat->sender, beat->sequence, now);
         members_.on_gossip(beat->members, now);
         note_peer_routes(beat->table_version, beat->table_age, now);
+        update_routes_validity(now);
         if (!known && now - started_at_ < peer_discovery_period) {
             next_heartbeat_ = now; // helps starting peers find members
         }
@@ -166,11 +168,13 @@
         changed_by_ = from.empty() ? "peer" : from;
         on_table_rows(from, *rows, now, out);
         note_peer_routes(rows->routes_version, rows->routes_age, now);
+        update_routes_validity(now);
     } else {
         const auto& request = std::get<table_request>(message);
         table_rows answer;
-        answer.age = last_store_read_at() ? now - *last_store_read_at()
-                                          : duration::max() / 2;
+        answer.age = freshness_.own_reads_as_of()
+                         ? now - *freshness_.own_reads_as_of()
+                         : duration::max() / 2;
         answer.rows = directory_.rows_after(request.have_version);
         if (!request.include_large_rows) {
             omit_large_rows(answer);
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -33,6 +33,9 @@
 constexpr duration directory_wait = milliseconds(600);
 constexpr duration directory_retry_after = milliseconds(100);
 
+// How long a request waits while the routes may be outdated.
+constexpr duration confirmation_wait = milliseconds(150);
+
 // Retries reach another instance, so callers may retry soon.
 constexpr duration stopping_retry_after = milliseconds(20);
 
@@ -78,6 +81,10 @@
     return entry;
 }
 
+bool request_router::can_decide(time_point now) const {
+    return directory_.routes_valid_at(now) && directory_.server_count() > 0;
+}
+
 request_router::actions request_router::submit(const routed_request& request,
                                                time_point now) {
     actions out;
@@ -92,8 +99,9 @@
             stopping_retry_after});
         return out;
     }
-    if (table == nullptr || directory_.server_count() == 0) {
-        early_requests_[request.id] = {request, now, now + directory_wait};
+    if (!can_decide(now)) {
+        const auto wait = table == nullptr ? directory_wait : confirmation_wait;
+        early_requests_[request.id] = {request, now, now + wait};
         return out;
     }
     const auto* chosen = table->match(request.host, request.path);
@@ -279,8 +287,7 @@
 // Submits requests that waited for the directory, and ends those that waited
 // too long.
 void request_router::submit_early(time_point now, actions& out) {
-    const bool known =
-        directory_.routing() != nullptr && directory_.server_count() > 0;
+    const bool known = can_decide(now);
     std::vector<early_request> ready;
     std::erase_if(early_requests_, [&](const auto& item) {
         if (known) {
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -75,6 +75,7 @@
     publish_changes();
     log_reader_change();
     schedule();
+    confirmed.emit();
 }
 
 void directory_sync::log_reader_change() {
--- a/src/router/directory_sync.hpp
+++ b/src/router/directory_sync.hpp
@@ -37,6 +37,10 @@
     // Emitted after routes or backend servers changed.
     sigc::signal<void(const directory::change&)> changed;
 
+    // Emitted when routes or backend servers may have been confirmed or
+    // changed.
+    sigc::signal<void()> confirmed;
+
 private:
     struct read_state {
         bool snapshot = false;
--- a/src/router/options_from_settings.cpp
+++ b/src/router/options_from_settings.cpp
@@ -65,6 +65,7 @@
     options.read_pause = milliseconds(values.store.read_pause);
     options.readers = static_cast<std::size_t>(values.store.readers);
     options.silence = milliseconds(values.store.silence);
+    options.max_routes_age = milliseconds(values.store.max_routes_age);
     options.return_hold = milliseconds(values.store.return_hold);
     return options;
 }
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -88,8 +88,10 @@
     pool_.disable_keep_alive();
 }
 
-void request_gateway::on_directory_changed() {
-    schedule();
+void request_gateway::on_directory_confirmed() {
+    if (router_.waits_for_directory()) {
+        execute_all(router_.on_tick(loop_.now()));
+    }
 }
 
 void request_gateway::schedule() {
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -29,8 +29,8 @@
     // connections to backend servers open.
     void begin_stop();
 
-    // Updates the timer after the directory changed.
-    void on_directory_changed();
+    // Decides requests that waited for the directory.
+    void on_directory_confirmed();
 
     std::size_t request_count() const { return requests_.size(); }
     time_point last_finished_at() const { return last_finished_at_; }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -84,6 +84,7 @@
     gateway_.emplace(loop_, platform_, *router_, metrics_);
     sync_.emplace(loop_, platform_, *follower_, peer_link_, metrics_,
                   make_sync_options(settings_));
+    sync_->confirmed.connect([this] { gateway_->on_directory_confirmed(); });
     sync_->changed.connect([this](const directory::change& change) {
         on_directory_changed(change);
     });
@@ -181,7 +182,6 @@
                {"age_ms", age_text(follower_->age(loop_.now()))},
                {"routes_age_ms", age_text(follower_->routes_age(loop_.now()))},
                {"from", follower_->changed_by()}});
-    gateway_->on_directory_changed();
 }
 
 void router_process::handle_readiness(incoming_request& incoming) {
@@ -190,7 +190,7 @@
         return;
     }
     const bool ready =
-        !stopping_since_ && follower_->view().routing() != nullptr;
+        !stopping_since_ && follower_->view().routes_valid_at(loop_.now());
     incoming.reply(ready ? status_ok : status_unavailable, {}, "");
 }
 
--- a/test/unit/directory_test.cpp
+++ b/test/unit/directory_test.cpp
@@ -292,14 +292,15 @@
 
 // Regression test: the age that peers were told was that of the servers table,
 // while the routes were still being read.
-Test(known_red, update_is_as_old_as_the_oldest_table_in_it) {
+Test(follower, update_is_as_old_as_the_oldest_table_in_it) {
     follower_fixture reader(1);
     reader.read_all(5, {make_row(make_server("s"), 2)}, start);
     heartbeat beat;
     beat.sender = make_member(2);
     beat.sequence = 1;
     reader.follower.on_message("127.0.0.1:2", beat, start);
-    reader.follower.on_tick(start); // starts the long poll of the routes
+    // Starts the long poll of the routes.
+    reader.follower.on_tick(start + milliseconds(600));
     reader.follower.on_response_started(store_table::routing);
     const auto now = start + seconds(3);
     reader.follower.on_tick(now);
@@ -309,6 +310,54 @@
     cr_assert_geq(std::get<table_rows>(sent[0].message).age, seconds(3));
 }
 
+// Regression test: an instance that peers had told of newer routes went on to
+// decide requests by its own.
+Test(follower, routes_expire_while_peers_have_newer_ones) {
+    follower_fixture fixture;
+    fixture.read_all(5, {make_row(make_server("s"), 2)}, start);
+    const auto& known = fixture.follower.view();
+    cr_assert(known.routes_valid_at(start + milliseconds(2000)));
+    for (auto now = start; now <= start + seconds(3);
+         now += milliseconds(500)) {
+        heartbeat beat;
+        beat.sender = make_member(2);
+        beat.sequence =
+            static_cast<std::uint64_t>(now.time_since_epoch().count());
+        beat.table_version = 9;
+        fixture.follower.on_message("127.0.0.1:2", beat, now);
+        fixture.follower.on_tick(now);
+        fixture.follower.on_failed(store_table::servers,
+                                   store_failure::unreachable, now);
+    }
+    cr_assert_not(known.routes_valid_at(start + milliseconds(2001)));
+}
+
+Test(follower, peer_with_the_same_routes_confirms_them) {
+    follower_fixture fixture;
+    fixture.read_all(5, {make_row(make_server("s"), 2)}, start);
+    heartbeat beat;
+    beat.sender = make_member(2);
+    beat.sequence = 1;
+    beat.table_version = 1;
+    beat.table_age = milliseconds(300);
+    fixture.follower.on_message("127.0.0.1:2", beat, start + seconds(2));
+    const auto& known = fixture.follower.view();
+    cr_assert(known.routes_valid_at(start + milliseconds(3700)));
+    cr_assert_not(known.routes_valid_at(start + milliseconds(3701)));
+}
+
+Test(follower, routes_stay_in_force_while_the_store_answers_nobody) {
+    follower_fixture fixture;
+    fixture.read_all(5, {make_row(make_server("s"), 2)}, start);
+    for (auto now = start + milliseconds(600); now <= start + seconds(20);
+         now += milliseconds(100)) {
+        fixture.follower.on_tick(now);
+        fixture.follower.on_failed(store_table::servers,
+                                   store_failure::unreachable, now);
+        cr_assert(fixture.follower.view().routes_valid_at(now));
+    }
+}
+
 Test(follower, unchanged_registrations_are_not_reported) {
     follower_fixture fixture;
     fixture.read_all(5, {make_row(make_server("s"), 2)}, start);
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -331,6 +331,33 @@
         router_fixture::pick<finish_action>(out)[0].retry_after.has_value());
 }
 
+// Regression test: 404 was sent for routes that newer routes had, by an
+// instance that could have known that its own were outdated.
+Test(router, request_waits_while_routes_may_be_outdated) {
+    router_fixture fixture({});
+    fixture.known.set_routes_valid_until(fixture.now - milliseconds(1));
+    const auto none = fixture.router.submit(
+        {call_id{1}, "other", "/a/", milliseconds(500)}, fixture.now);
+    cr_assert(none.empty());
+    cr_assert(fixture.router.waits_for_directory());
+    fixture.known.set_routes_valid_until(fixture.now + seconds(1));
+    cr_assert_eq(
+        std::get<not_run>(outcome_of(fixture.router.on_tick(fixture.now)))
+            .reason,
+        not_run_reason::unknown_service);
+}
+
+Test(router, request_is_refused_soon_when_routes_stay_unconfirmed) {
+    router_fixture fixture({});
+    fixture.known.set_routes_valid_until(fixture.now - milliseconds(1));
+    fixture.submit(1);
+    const auto out = fixture.router.on_tick(fixture.now + milliseconds(150));
+    cr_assert_eq(std::get<not_run>(outcome_of(out)).reason,
+                 not_run_reason::table_unconfirmed);
+    cr_assert(
+        router_fixture::pick<finish_action>(out)[0].retry_after.has_value());
+}
+
 // Regression test: a request accepted seconds after SIGTERM was lost when the
 // process had to exit.
 Test(router, stop_refuses_late_arrivals) {
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -433,7 +433,7 @@
 
 // Regression test: a reader that was late with the routes announced them with
 // the age of its last read of the servers, so its peers did not read the store.
-Test(known_red, slow_reader_does_not_keep_peers_on_outdated_routes) {
+Test(spread, slow_reader_does_not_keep_peers_on_outdated_routes) {
     simulated_cluster cluster(60, 0.01);
     cluster.run_until(start + seconds(10));
     cluster.slow_down(cluster.first_reader(), seconds(3));
