Make an edit cost what it changed, for processors and links

Callers of loaded instances saw late answers and refusals while operators' edits followed each other, and instances fell behind with the routes.

Cause: for one changed cell an instance parsed all routes again, 0.7 of the 0.95 ms that applying took with 430 routes (measured alone, on this machine).

Each update carries the latest edits, up to 600 bytes, with every version to which they apply; a peer that asks for rows says which routes it has and gets the changes since. Only routes whose cell differs are parsed.

--- a/include/lacewingbeam/directory.hpp
+++ b/include/lacewingbeam/directory.hpp
@@ -3,6 +3,7 @@
 
 #include "core.hpp"
 #include "routing.hpp"
+#include "row_history.hpp"
 #include "table.hpp"
 
 #include <map>
@@ -69,6 +70,14 @@
     // Returns the row, which may be a tombstone, or null if it is unknown.
     const raw_row* find_row(std::string_view key) const;
 
+    // Returns the changes of the routes from a revision on, or nullopt if these
+    // are not remembered.
+    std::optional<row_delta> route_changes_since(std::uint64_t revision) const;
+
+    // Returns the latest changes of the routes that take at most max_bytes, or
+    // nullopt if there are none.
+    std::optional<row_delta> latest_route_changes(std::size_t max_bytes) const;
+
     // Returns the row's revision, or 0 if the row is unknown.
     std::uint64_t revision_of(std::string_view key) const;
 
@@ -104,12 +113,14 @@
         time_point changed_at;
     };
 
-    void apply_routing(const raw_row& row, change& out);
+    void apply_routing(const raw_row& before, const raw_row& row, change& out);
     void apply_server(const raw_row& row, time_point now, change& out);
 
     std::map<std::string, stored_row, std::less<>> rows_;
     std::uint64_t digest_ = 0;
     std::optional<routing_table> routing_;
+    std::uint64_t routing_row_version_ = 0; // from which routing_ was parsed
+    row_history route_history_;
     time_point routes_valid_until_ = time_point::max();
     std::map<std::string, known_server, std::less<>> servers_;
     std::map<std::string, std::set<std::string>, std::less<>> by_service_;
--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -199,7 +199,6 @@
     void apply_update(const table_rows& rows, time_point now);
     void schedule_direct_read(time_point now);
     bool store_reads_allowed(time_point now) const;
-    std::vector<row_delta> compute_deltas(std::span<const raw_row> rows) const;
     std::vector<std::string> pick_relay_targets(const incarnation& origin,
                                                 time_point now);
     void relay(table_rows rows, time_point now, actions& out);
@@ -219,12 +218,14 @@
                         time_point now);
     void apply_deferred_removals(time_point now, actions& out);
     void apply(std::span<const raw_row> rows, time_point now);
-    void publish_update(std::vector<raw_row> rows,
-                        std::vector<row_delta> deltas, time_point now,
+    void publish_update(std::vector<raw_row> rows, time_point now,
                         actions& out);
     void on_table_rows(const std::string& from, const table_rows& rows,
                        time_point now, actions& out);
     void send_heartbeats(time_point now, actions& out);
+    void add_route_changes(table_rows& message) const;
+    void omit_known_routes(table_rows& answer,
+                           std::uint64_t peer_version) const;
     void set_routes_age(table_rows& message, time_point now) const;
     void note_peer_routes(std::uint64_t revision, duration age, time_point now);
 
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -49,8 +49,9 @@
 // even if it has no newer rows; the answer then confirms the version held.
 struct table_request {
     std::uint64_t have_version = 0;
-    std::uint64_t number = 0;        // assigned by the sender
-    bool include_large_rows = false; // set if the sender cannot read the store
+    std::uint64_t number = 0;         // assigned by the sender
+    bool include_large_rows = false;  // set if the sender cannot read the store
+    std::uint64_t routes_version = 0; // revision of the sender's routes, or 0
 };
 
 // Answers a table_request, or announces changed rows.
--- a/include/lacewingbeam/routing.hpp
+++ b/include/lacewingbeam/routing.hpp
@@ -83,6 +83,12 @@
 // Parses a row made by make_row. Throws table_error if it is invalid.
 routing_table parse_routing(const raw_row& row);
 
+// Updates a table that was parsed from `before` to `after`, and parses only the
+// routes that differ. Throws table_error, and leaves the table as it is, if
+// `after` is invalid.
+void update_routing(routing_table& table, const raw_row& before,
+                    const raw_row& after);
+
 } // namespace lacewingbeam
 
 #endif
--- a/include/lacewingbeam/row_delta.hpp
+++ b/include/lacewingbeam/row_delta.hpp
@@ -18,14 +18,17 @@
     std::uint64_t version = 0;
     std::vector<cell> cells;          // new or changed
     std::vector<std::string> removed; // names
+    // Further versions to which the delta may be applied.
+    std::vector<std::uint64_t> later_bases;
 
+    bool applies_to(std::uint64_t held) const;
     bool operator==(const row_delta&) const = default;
 };
 
 // Computes the delta between two rows, both with cells sorted by name.
 row_delta compute_delta(const raw_row& before, const raw_row& after);
 
-// Applies `delta` to `before`, whose version must be the delta's base version.
+// Applies `delta` to `before`; the delta must apply to its version.
 raw_row apply_delta(const raw_row& before, const row_delta& delta);
 
 // Return the total length of all strings in bytes, which approximates the size
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -41,6 +41,8 @@
   2: i64 number,
   // Include large rows in the response.
   3: bool whole,
+  // Revision of the routes that the sender holds, or 0.
+  4: i64 routes_version,
 }
 
 struct cell {
@@ -62,6 +64,8 @@
   3: i64 version,
   4: list<cell> cells,
   5: list<string> removed,
+  // Further versions to which the changes may be applied.
+  6: list<i64> later_bases,
 }
 
 struct table_rows {
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -133,13 +133,17 @@
     out.version = static_cast<std::int64_t>(value.version);
     out.cells = to_wire(value.cells);
     out.removed = value.removed;
+    out.later_bases.assign(value.later_bases.begin(), value.later_bases.end());
     return out;
 }
 
 row_delta from_wire(const wire::row_delta& value) {
-    return {value.key, static_cast<std::uint64_t>(value.base_version),
-            static_cast<std::uint64_t>(value.version), from_wire(value.cells),
-            value.removed};
+    return {value.key,
+            static_cast<std::uint64_t>(value.base_version),
+            static_cast<std::uint64_t>(value.version),
+            from_wire(value.cells),
+            value.removed,
+            {value.later_bases.begin(), value.later_bases.end()}};
 }
 
 raw_row from_wire(const wire::row& value) {
@@ -184,6 +188,8 @@
         request.have_version = static_cast<std::int64_t>(value.have_version);
         request.number = static_cast<std::int64_t>(value.number);
         request.whole = value.include_large_rows;
+        request.routes_version =
+            static_cast<std::int64_t>(value.routes_version);
         out.__set_request(request);
     }
 
@@ -313,7 +319,8 @@
         return table_request{
             static_cast<std::uint64_t>(message.request.have_version),
             static_cast<std::uint64_t>(message.request.number),
-            message.request.whole};
+            message.request.whole,
+            static_cast<std::uint64_t>(message.request.routes_version)};
     }
     if (message.__isset.rows) {
         return read_rows(message.rows);
--- a/src/decisions/knowledge/directory.cpp
+++ b/src/decisions/knowledge/directory.cpp
@@ -3,6 +3,8 @@
 #include "lacewingbeam/endpoint.hpp"
 #include "lacewingbeam/number.hpp"
 
+#include <utility>
+
 namespace lacewingbeam {
 
 namespace {
@@ -84,10 +86,10 @@
             continue;
         }
         digest_ ^= digest_of(stored.row) ^ digest_of(row);
-        stored = {row, now};
+        const auto before = std::exchange(stored, stored_row{row, now});
         try {
             if (row.key == routing_row_key) {
-                apply_routing(row, out);
+                apply_routing(before.row, row, out);
             } else if (row.key.starts_with(server_row_prefix)) {
                 apply_server(row, now, out);
             }
@@ -98,14 +100,37 @@
     return out;
 }
 
-void directory::apply_routing(const raw_row& row, change& out) {
+void directory::apply_routing(const raw_row& before, const raw_row& row,
+                              change& out) {
+    if (before.version != 0) {
+        route_history_.on_changed(before, row);
+    }
     if (row.deleted) {
         return; // keeps the last routes in force
     }
-    routing_ = parse_routing(row);
+    if (routing_ && routing_row_version_ == before.version) {
+        update_routing(*routing_, before, row);
+    } else {
+        routing_ = parse_routing(row);
+    }
+    routing_row_version_ = row.version;
     out.routing = true;
 }
 
+std::optional<row_delta>
+directory::route_changes_since(std::uint64_t revision) const {
+    const auto* row = find_row(routing_row_key);
+    return row == nullptr ? std::nullopt
+                          : route_history_.changes_since(revision, *row);
+}
+
+std::optional<row_delta>
+directory::latest_route_changes(std::size_t max_bytes) const {
+    const auto* row = find_row(routing_row_key);
+    return row == nullptr ? std::nullopt
+                          : route_history_.changes_within(max_bytes, *row);
+}
+
 void directory::apply_server(const raw_row& row, time_point now, change& out) {
     const auto id = row.key.substr(server_row_prefix.size());
     const auto known = servers_.find(id);
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -345,7 +345,7 @@
     });
     if (!rows.empty()) {
         apply(rows, now);
-        publish_update(std::move(rows), {}, now, out);
+        publish_update(std::move(rows), now, out);
     }
 }
 
@@ -394,7 +394,6 @@
     add_missing_tombstones(page, rows);
     defer_removals(state, rows, now);
     const bool has_update = !rows.empty() || page.table == store_table::servers;
-    auto deltas = compute_deltas(rows);
     changed_by_ = "store";
     apply(rows, now);
     freshness_.on_read_completed(page.table);
@@ -404,7 +403,7 @@
     if (direct_read && !reading_) {
         complete_direct_read(now, out);
     } else if (has_update) {
-        publish_update(std::move(rows), std::move(deltas), now, out);
+        publish_update(std::move(rows), now, out);
     }
     return out;
 }
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -22,6 +22,10 @@
 // Limits the number of update origins tracked, all of which are live instances.
 constexpr std::size_t max_tracked_origins = 4096;
 
+// Limit for the latest changes of the routes in each update. Leaves room for a
+// few changed servers in a relayed datagram.
+constexpr std::size_t max_change_bytes = 600;
+
 constexpr std::size_t max_message_rows = 4000;
 
 // Each instance reads larger rows from the store itself, with one read. If
@@ -58,41 +62,16 @@
 
 } // namespace
 
-// Returns deltas for the rows, which must not be applied yet, where a delta is
-// less than half the size of the row. An edit changes few cells of the routes,
-// and peers with the previous version need no more than these.
-std::vector<row_delta>
-directory_follower::compute_deltas(std::span<const raw_row> rows) const {
-    std::vector<row_delta> deltas;
-    for (const auto& row : rows) {
-        const auto* stored = directory_.find_row(row.key);
-        if (row.key != routing_row_key || stored == nullptr ||
-            stored->deleted) {
-            continue;
-        }
-        auto delta = compute_delta(*stored, row);
-        if (2 * size_of(delta) < size_of(row)) {
-            deltas.push_back(std::move(delta));
-        }
-    }
-    return deltas;
-}
-
-// Rows that have a delta are sent as the delta only.
+// Publishes rows that have been applied. The latest edits of the routes are
+// sent as changes with every update, so that peers that lost an update, or get
+// two in the wrong order, need not request the whole row.
 void directory_follower::publish_update(std::vector<raw_row> rows,
-                                        std::vector<row_delta> deltas,
                                         time_point now, actions& out) {
     table_rows message;
-    message.age = freshness_.own_reads_as_of()
-                      ? now - *freshness_.own_reads_as_of()
-                      : duration::max() / 2;
-    std::erase_if(rows, [&](const raw_row& row) {
-        return std::any_of(
-            deltas.begin(), deltas.end(),
-            [&](const row_delta& delta) { return delta.key == row.key; });
-    });
+    const auto read_at = freshness_.own_reads_as_of();
+    message.age = read_at ? now - *read_at : duration::max() / 2;
     message.rows = std::move(rows);
-    message.deltas = std::move(deltas);
+    add_route_changes(message);
     omit_large_rows(message);
     message.digest = directory_.digest();
     message.origin = options_.own.id;
@@ -102,6 +81,19 @@
     relay(std::move(message), now, out);
 }
 
+// Replaces the row of the routes in an update by its latest changes, unless
+// these are large.
+void directory_follower::add_route_changes(table_rows& message) const {
+    auto changes = directory_.latest_route_changes(max_change_bytes);
+    if (!changes) {
+        return;
+    }
+    std::erase_if(message.rows, [](const raw_row& row) {
+        return row.key == routing_row_key;
+    });
+    message.deltas.push_back(std::move(*changes));
+}
+
 // Returns the revision up to which every change has been read.
 std::uint64_t directory_follower::read_revision() const {
     std::uint64_t revision = complete_revision_;
@@ -176,6 +168,7 @@
                          ? now - *freshness_.own_reads_as_of()
                          : duration::max() / 2;
         answer.rows = directory_.rows_after(request.have_version);
+        omit_known_routes(answer, request.routes_version);
         if (!request.include_large_rows) {
             omit_large_rows(answer);
         }
@@ -227,6 +220,23 @@
     }
 }
 
+// Leaves the routes out of an answer if the peer has them, and sends those that
+// changed if it has an earlier version.
+void directory_follower::omit_known_routes(table_rows& answer,
+                                           std::uint64_t peer_version) const {
+    const bool known = peer_version >= directory_.revision_of(routing_row_key);
+    auto changes = directory_.route_changes_since(peer_version);
+    if (!known && !changes) {
+        return;
+    }
+    std::erase_if(answer.rows, [](const raw_row& row) {
+        return row.key == routing_row_key;
+    });
+    if (changes) {
+        answer.deltas.push_back(std::move(*changes));
+    }
+}
+
 // Tells peers which routes this instance holds, and how old they are.
 void directory_follower::set_routes_age(table_rows& message,
                                         time_point now) const {
@@ -254,7 +264,7 @@
     }
     for (const auto& delta : rows.deltas) {
         const auto* stored = directory_.find_row(delta.key);
-        if (stored != nullptr && stored->version == delta.base_version) {
+        if (stored != nullptr && delta.applies_to(stored->version)) {
             const std::vector<raw_row> updated{apply_delta(*stored, delta)};
             apply(updated, now);
         }
@@ -323,7 +333,8 @@
     const auto have_version = request_number_ % 3 == 0 ? 0 : complete_revision_;
     out.emplace_back(send_to_peer{
         ask_origin ? origin->peer_address : from,
-        table_request{have_version, request_number_, include_large_rows}});
+        table_request{have_version, request_number_, include_large_rows,
+                      directory_.revision_of(routing_row_key)}});
 }
 
 } // namespace lacewingbeam
--- a/src/decisions/knowledge/routing.cpp
+++ b/src/decisions/knowledge/routing.cpp
@@ -155,6 +155,21 @@
     return limits;
 }
 
+// Reads a cell that is not a route.
+void read_other_cell(const cell& item, routing_table& table) {
+    if (item.name == version_cell) {
+        table.version = item.value;
+    } else if (item.name == limits_cell) {
+        table.limits = read_limits(item);
+    } else if (item.name.starts_with(service_cell)) {
+        const field_reader fields(item);
+        table.services[item.name.substr(service_cell.size())] = {
+            fields.text("health"), fields.number<unsigned>("connections")};
+    } else {
+        reject(item.name, "unknown cell");
+    }
+}
+
 } // namespace
 
 const route* routing_table::match(std::string_view host,
@@ -203,21 +218,47 @@
 routing_table parse_routing(const raw_row& row) {
     routing_table table;
     for (const auto& item : row.cells) {
-        if (item.name == version_cell) {
-            table.version = item.value;
-        } else if (item.name == limits_cell) {
-            table.limits = read_limits(item);
-        } else if (item.name.starts_with(route_cell)) {
+        if (item.name.starts_with(route_cell)) {
             table.routes.push_back(read_route(item));
-        } else if (item.name.starts_with(service_cell)) {
-            const field_reader fields(item);
-            table.services[item.name.substr(service_cell.size())] = {
-                fields.text("health"), fields.number<unsigned>("connections")};
         } else {
-            reject(item.name, "unknown cell");
+            read_other_cell(item, table);
         }
     }
     return table;
 }
 
+void update_routing(routing_table& table, const raw_row& before,
+                    const raw_row& after) {
+    // Cells are sorted by name, and the table's routes are in their order.
+    std::vector<const cell*> old_cells;
+    for (const auto& item : before.cells) {
+        if (item.name.starts_with(route_cell)) {
+            old_cells.push_back(&item);
+        }
+    }
+    routing_table updated;
+    std::vector<std::pair<std::size_t, route*>> unchanged;
+    std::size_t old = 0;
+    for (const auto& item : after.cells) {
+        if (!item.name.starts_with(route_cell)) {
+            read_other_cell(item, updated);
+            continue;
+        }
+        while (old < old_cells.size() && old_cells[old]->name < item.name) {
+            ++old;
+        }
+        if (old < old_cells.size() && *old_cells[old] == item) {
+            unchanged.emplace_back(updated.routes.size(), &table.routes[old]);
+            updated.routes.emplace_back();
+        } else {
+            updated.routes.push_back(read_route(item));
+        }
+    }
+    // Nothing is moved before all of the row has been parsed.
+    for (const auto& [index, source] : unchanged) {
+        updated.routes[index] = std::move(*source);
+    }
+    table = std::move(updated);
+}
+
 } // namespace lacewingbeam
--- a/src/decisions/knowledge/row_delta.cpp
+++ b/src/decisions/knowledge/row_delta.cpp
@@ -23,8 +23,14 @@
 
 } // namespace
 
+bool row_delta::applies_to(std::uint64_t held) const {
+    return held == base_version ||
+           std::find(later_bases.begin(), later_bases.end(), held) !=
+               later_bases.end();
+}
+
 row_delta compute_delta(const raw_row& before, const raw_row& after) {
-    row_delta delta{after.key, before.version, after.version, {}, {}};
+    row_delta delta{after.key, before.version, after.version, {}, {}, {}};
     auto old = before.cells.begin();
     for (const auto& item : after.cells) {
         for (; old != before.cells.end() && old->name < item.name; ++old) {
--- a/test/unit/directory_test.cpp
+++ b/test/unit/directory_test.cpp
@@ -107,6 +107,32 @@
     cr_assert(parse_routing(make_row(table, 5)) == table);
 }
 
+Test(routing, update_of_a_table_equals_a_new_one) {
+    auto table = make_table("1");
+    const auto before = make_row(table, 1);
+    auto edited = table;
+    edited.version = "2";
+    edited.routes[0].max_attempts = 5;
+    edited.routes.push_back(edited.routes[1]);
+    edited.routes.back().name = "another";
+    edited.services["two"] = {"/h", 3};
+    const auto after = make_row(edited, 2);
+    table = parse_routing(before);
+    update_routing(table, before, after);
+    cr_assert(table == parse_routing(after));
+    update_routing(table, after, before);
+    cr_assert(table == parse_routing(before));
+}
+
+Test(routing, invalid_update_leaves_the_table_as_it_is) {
+    const auto before = make_row(make_table("1"), 1);
+    auto table = parse_routing(before);
+    auto after = make_row(make_table("2"), 2);
+    after.cells.push_back({"route x", "host=h prefix"});
+    cr_assert_throw(update_routing(table, before, after), table_error);
+    cr_assert(table == parse_routing(before));
+}
+
 Test(routing, invalid_row_is_rejected_naming_the_cell) {
     auto row = make_row(make_table("1"), 1);
     row.cells.push_back({"route x", "host=h prefix"});
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -1,6 +1,7 @@
 #include "lacewingbeam/directory_follower.hpp"
 #include "lacewingbeam/row_delta.hpp"
 
+#include <algorithm>
 #include <boost/random/bernoulli_distribution.hpp>
 #include <criterion/criterion.h>
 #include <map>
@@ -157,6 +158,9 @@
 
     std::size_t store_reads() const { return store_reads_; }
 
+    // Counts the routes that peers sent to each other as a whole.
+    std::size_t whole_rows_sent() const { return whole_rows_sent_; }
+
     // Makes the store serve only instances with an index below `first`.
     void refuse_from(std::size_t first) { refused_from_ = first; }
 
@@ -256,6 +260,11 @@
                 engine_)) {
             return;
         }
+        if (const auto* rows = std::get_if<table_rows>(&action.message)) {
+            whole_rows_sent_ += static_cast<std::size_t>(std::count_if(
+                rows->rows.begin(), rows->rows.end(),
+                [](const raw_row& row) { return row.key == routing_row_key; }));
+        }
         const auto to = std::stoul(action.peer_address.substr(
                             action.peer_address.find(':') + 1)) -
                         1000;
@@ -326,6 +335,7 @@
     std::size_t routes_ = 30;
     unsigned edits_ = 1;
     std::size_t store_reads_ = 0;
+    std::size_t whole_rows_sent_ = 0;
     std::size_t refused_from_ = 1000;
     std::uint64_t server_changed_at_ = 5;
     bool server_leaving_ = false;
@@ -391,6 +401,26 @@
     cr_assert_leq(cluster.store_reads() - before, 200);
 }
 
+// Regression test: an instance that had missed one of several edits, or got
+// them in the wrong order, requested all routes. In a storm of edits these took
+// up the links and the processors.
+Test(spread, storm_of_edits_with_lost_messages_sends_few_whole_rows) {
+    simulated_cluster cluster(60, 0.05);
+    cluster.run_until(start + seconds(10));
+    cluster.edit_routes(400);
+    cluster.run_until(cluster.now + seconds(3));
+    const auto before = cluster.whole_rows_sent();
+    cluster.slow_down(cluster.first_reader(), milliseconds(1500));
+    for (int i = 0; i < 20; ++i) {
+        cluster.edit_routes(400);
+        cluster.run_until(cluster.now + milliseconds(300));
+    }
+    cluster.run_until(cluster.now + seconds(3));
+    cr_assert_eq(cluster.count_with_newest_routes(), 60);
+    const auto sent = cluster.whole_rows_sent() - before;
+    cr_assert_leq(sent, 20, "%zu", sent);
+}
+
 // Instances that the store refuses get large routes from their peers.
 Test(spread, edit_with_many_routes_reaches_instances_refused_by_the_store) {
     simulated_cluster cluster(40, 0.01);
