Send a starting instance the directory once, within its failure domain

Callers waited or were refused for seconds after many instances had restarted.

Cause: a starting instance asked its three seeds for the whole directory every 40 ms, and each seed answered each time, although it takes 80 ms and more to transfer 430 routes and 211 servers over a link of 10 Mbit/s. Evidence: with 57 of 60 instances restarted, seeds sent 284 whole rows to other failure domains (test restarted_instances_get_the_directory_once_in_their_domain on the code before).

Change: for the first 250 ms only seeds of the same failure domain are asked to answer, and a seed sends the whole directory to a peer at most every 500 ms.

Measured: the test counts none to other domains and at most one per instance.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -220,6 +220,10 @@
     void apply(std::span<const raw_row> rows, time_point now);
     void publish_update(std::vector<raw_row> rows, time_point now,
                         actions& out);
+    bool should_answer(const std::string& from, const table_request& request,
+                       time_point now);
+    void answer_request(const std::string& from, const table_request& request,
+                        time_point now, actions& out);
     void on_table_rows(const std::string& from, const table_rows& rows,
                        time_point now, actions& out);
     void send_heartbeats(time_point now, actions& out);
@@ -249,6 +253,8 @@
     // A direct read fetches routes that are too large for peer messages.
     std::optional<time_point> direct_read_due_;
     bool direct_read_in_flight_ = false;
+    // When the whole directory was last sent, by peer address.
+    std::map<std::string, time_point> whole_answers_;
     std::uint64_t update_number_ = 0; // of the last update published
     // Every change up to this revision is stored.
     std::uint64_t complete_revision_ = 0;
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -52,6 +52,8 @@
     std::uint64_t number = 0;         // assigned by the sender
     bool include_large_rows = false;  // set if the sender cannot read the store
     std::uint64_t routes_version = 0; // revision of the sender's routes, or 0
+    // Only instances in this failure domain answer; empty: all.
+    std::string failure_domain = {};
 };
 
 // Answers a table_request, or announces changed rows.
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -43,6 +43,8 @@
   3: bool whole,
   // Revision of the routes that the sender holds, or 0.
   4: i64 routes_version,
+  // Failure domain of the sender, if only instances in it shall answer.
+  5: string failure_domain,
 }
 
 struct cell {
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -190,6 +190,7 @@
         request.whole = value.include_large_rows;
         request.routes_version =
             static_cast<std::int64_t>(value.routes_version);
+        request.failure_domain = value.failure_domain;
         out.__set_request(request);
     }
 
@@ -320,7 +321,8 @@
             static_cast<std::uint64_t>(message.request.have_version),
             static_cast<std::uint64_t>(message.request.number),
             message.request.whole,
-            static_cast<std::uint64_t>(message.request.routes_version)};
+            static_cast<std::uint64_t>(message.request.routes_version),
+            message.request.failure_domain};
     }
     if (message.__isset.rows) {
         return read_rows(message.rows);
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -14,9 +14,6 @@
 // them every one to two seconds, and they expire after three missed renewals.
 constexpr duration min_outage = milliseconds(1500);
 
-// The interval at which a starting instance sends requests to its seeds.
-constexpr duration seed_request_interval = milliseconds(40);
-
 // Instances without an answer from their seeds start to read the store at times
 // spread over this fraction of seed_patience after it has passed.
 constexpr double seed_patience_jitter = 0.5;
@@ -236,25 +233,6 @@
     return out;
 }
 
-// A starting instance requests the directory from its seeds.
-void directory_follower::request_from_seeds(time_point now, actions& out) {
-    const bool needed = directory_.routing() == nullptr;
-    if (!needed || now < next_seed_request_) {
-        return;
-    }
-    // Routes too large for peer messages are read from the store. If the store
-    // cannot be read, the seeds are asked for them.
-    const bool include_large_rows = !store_reads_allowed(now);
-    next_seed_request_ = now + (include_large_rows ? full_request_interval
-                                                   : seed_request_interval);
-    for (const auto& seed : seeds_) {
-        if (seed != options_.own.peer_address) {
-            out.emplace_back(send_to_peer{
-                seed, table_request{0, ++request_number_, include_large_rows}});
-        }
-    }
-}
-
 time_point directory_follower::next_due() const {
     auto due = next_heartbeat_;
     if (directory_.routing() == nullptr) {
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -11,8 +11,18 @@
 
 using std::chrono::milliseconds;
 
+// The interval at which a starting instance sends requests to its seeds.
+constexpr duration seed_request_interval = milliseconds(40);
+
+// The time for which a starting instance asks only the seeds in its own failure
+// domain for the directory.
+constexpr duration own_domain_patience = milliseconds(250);
+
 constexpr duration row_request_interval = milliseconds(300);
 
+// The interval at which the whole directory is sent to the same peer.
+constexpr duration whole_answer_interval = milliseconds(500);
+
 // Up to this number of peers, the reader sends updates to all of them directly.
 constexpr std::size_t max_direct_peers = 24;
 
@@ -162,27 +172,74 @@
         note_peer_routes(rows->routes_version, rows->routes_age, now);
         update_routes_validity(now);
     } else {
-        const auto& request = std::get<table_request>(message);
-        table_rows answer;
-        answer.age = freshness_.own_reads_as_of()
-                         ? now - *freshness_.own_reads_as_of()
-                         : duration::max() / 2;
-        answer.rows = directory_.rows_after(request.have_version);
-        omit_known_routes(answer, request.routes_version);
-        if (!request.include_large_rows) {
-            omit_large_rows(answer);
-        }
-        answer.digest = directory_.digest();
-        answer.table_version = complete_revision_;
-        set_routes_age(answer, now);
-        if (directory_.routing() == nullptr) {
-            return out; // nothing to send yet
-        }
-        out.emplace_back(send_to_peer{from, std::move(answer)});
+        answer_request(from, std::get<table_request>(message), now, out);
     }
     return out;
 }
 
+// A starting instance requests the directory from its seeds.
+void directory_follower::request_from_seeds(time_point now, actions& out) {
+    const bool needed = directory_.routing() == nullptr;
+    if (!needed || now < next_seed_request_) {
+        return;
+    }
+    // Routes too large for peer messages are read from the store. If the store
+    // cannot be read, the seeds are asked for them.
+    const bool include_large_rows = !store_reads_allowed(now);
+    next_seed_request_ = now + (include_large_rows ? full_request_interval
+                                                   : seed_request_interval);
+    // The whole directory is sent within the failure domain if possible.
+    const bool ask_all = now - started_at_ > own_domain_patience;
+    table_request request{0, 0, include_large_rows, 0,
+                          ask_all ? "" : options_.own.failure_domain};
+    for (const auto& seed : seeds_) {
+        if (seed != options_.own.peer_address) {
+            request.number = ++request_number_;
+            out.emplace_back(send_to_peer{seed, request});
+        }
+    }
+}
+
+// Answers over TCP are not lost, so a peer that repeats a request for the whole
+// directory has not received the answer yet.
+bool directory_follower::should_answer(const std::string& from,
+                                       const table_request& request,
+                                       time_point now) {
+    const bool other_domain =
+        !request.failure_domain.empty() &&
+        request.failure_domain != options_.own.failure_domain;
+    if (directory_.routing() == nullptr || other_domain) {
+        return false;
+    }
+    if (request.have_version != 0) {
+        return true;
+    }
+    std::erase_if(whole_answers_, [&](const auto& item) {
+        return now - item.second > whole_answer_interval;
+    });
+    return whole_answers_.try_emplace(from, now).second;
+}
+
+void directory_follower::answer_request(const std::string& from,
+                                        const table_request& request,
+                                        time_point now, actions& out) {
+    if (!should_answer(from, request, now)) {
+        return;
+    }
+    table_rows answer;
+    const auto read_at = freshness_.own_reads_as_of();
+    answer.age = read_at ? now - *read_at : duration::max() / 2;
+    answer.rows = directory_.rows_after(request.have_version);
+    omit_known_routes(answer, request.routes_version);
+    if (!request.include_large_rows) {
+        omit_large_rows(answer);
+    }
+    answer.digest = directory_.digest();
+    answer.table_version = complete_revision_;
+    set_routes_age(answer, now);
+    out.emplace_back(send_to_peer{from, std::move(answer)});
+}
+
 void directory_follower::on_table_rows(const std::string& from,
                                        const table_rows& rows, time_point now,
                                        actions& out) {
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -1,355 +1,14 @@
-#include "lacewingbeam/directory_follower.hpp"
-#include "lacewingbeam/row_delta.hpp"
+#include "simulated_cluster.hpp"
 
-#include <algorithm>
-#include <boost/random/bernoulli_distribution.hpp>
 #include <criterion/criterion.h>
-#include <map>
-#include <memory>
-#include <optional>
 
 // Tests how updates propagate between many instances when messages are lost and
 // instances are killed.
 using namespace lacewingbeam;
+using namespace lacewingbeam::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-const time_point start{seconds(100)};
-constexpr duration link_delay = milliseconds(1);
-
-// The slowest links in large installations: 10 Mbit/s.
-constexpr double bytes_per_us = 1.25;
-
-std::size_t size_of(const peer_message& message) {
-    std::size_t size = 100;
-    if (const auto* update = std::get_if<table_rows>(&message)) {
-        for (const auto& row : update->rows) {
-            size += size_of(row);
-        }
-        for (const auto& change : update->deltas) {
-            size += size_of(change);
-        }
-    }
-    return size;
-}
-
-std::string address_of(std::size_t number) {
-    return "127.0.0.1:" + std::to_string(1000 + number);
-}
-
-// Simulates the store, which holds one backend server, and instances that read
-// it.
-class simulated_cluster {
-public:
-    simulated_cluster(std::size_t count, double loss,
-                      duration seed_patience = milliseconds(1500))
-        : loss_rate_(loss), engine_(5), now(start) {
-        for (std::size_t i = 0; i < count; ++i) {
-            follower_options options;
-            random_engine seed(i + 1);
-            options.own.id = draw_incarnation(seed);
-            options.own.peer_address = address_of(i);
-            options.own.caller_address = options.own.peer_address;
-            options.own.admin_address = options.own.peer_address;
-            options.seed = i + 1;
-            options.seed_patience = seed_patience;
-            nodes_.push_back(
-                std::make_unique<directory_follower>(options, now));
-            const std::vector<std::string> seeds{address_of(0), address_of(1),
-                                                 address_of(2)};
-            nodes_.back()->set_seeds(seeds);
-        }
-        alive.assign(count, true);
-        link_free_at_.assign(count, now);
-    }
-
-    void run_until(time_point end) {
-        for (; now < end; now += milliseconds(1)) {
-            deliver();
-            for (std::size_t i = 0; i < nodes_.size(); ++i) {
-                if (alive[i] && nodes_[i]->next_due() <= now) {
-                    execute(i, nodes_[i]->on_tick(now));
-                }
-            }
-        }
-    }
-
-    // Counts the live instances with the newest routes.
-    std::size_t count_with_newest_routes() const {
-        std::size_t count = 0;
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            const auto* routes = nodes_[i]->view().routing();
-            count += alive[i] && routes != nullptr &&
-                             routes->version == std::to_string(edits_)
-                         ? 1
-                         : 0;
-        }
-        return count;
-    }
-
-    std::size_t count_with_server() const {
-        std::size_t count = 0;
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            count +=
-                alive[i] && !nodes_[i]->view().available("svc").empty() ? 1 : 0;
-        }
-        return count;
-    }
-
-    std::size_t count_readers() const {
-        std::size_t count = 0;
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            count += alive[i] && nodes_[i]->is_reading() ? 1 : 0;
-        }
-        return count;
-    }
-
-    // Makes an instance take this long to process routes read from the store.
-    void slow_down(std::size_t node, duration processing_time) {
-        slow_node_ = node;
-        processing_time_ = processing_time;
-    }
-
-    std::size_t first_reader() const {
-        std::size_t i = 0;
-        while (i < nodes_.size() && !nodes_[i]->is_reading()) {
-            ++i;
-        }
-        return i;
-    }
-
-    // Counts the instances, except the slow one, whose routes were replaced
-    // more than `limit` ago.
-    std::size_t count_with_outdated_routes(duration limit) const {
-        std::size_t count = 0;
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            const auto* routes = nodes_[i]->view().routing();
-            const auto next =
-                routes == nullptr
-                    ? edited_at_.end()
-                    : edited_at_.upper_bound(std::stoul(routes->version));
-            const bool outdated =
-                next != edited_at_.end() && next->second + limit < now;
-            count += i != slow_node_ && alive[i] && outdated ? 1 : 0;
-        }
-        return count;
-    }
-
-    void kill_readers() {
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            alive[i] = alive[i] && !nodes_[i]->is_reading();
-        }
-    }
-
-    // Publishes the next version of the routes, with `count` routes.
-    void edit_routes(std::size_t count) {
-        ++edits_;
-        edited_at_[edits_] = now;
-        routes_ = count;
-        routes_changed_at_ = ++revision_;
-        for (auto& item : answers_) {
-            if (item.table == store_table::routing && !item.page) {
-                item.at = now + link_delay; // ends the long poll
-            }
-        }
-    }
-
-    std::size_t store_reads() const { return store_reads_; }
-
-    // Counts the routes that peers sent to each other as a whole.
-    std::size_t whole_rows_sent() const { return whole_rows_sent_; }
-
-    // Makes the store serve only instances with an index below `first`.
-    void refuse_from(std::size_t first) { refused_from_ = first; }
-
-    void drain_server() {
-        ++revision_;
-        server_leaving_ = true;
-        server_changed_at_ = revision_;
-    }
-
-private:
-    struct message {
-        time_point at;
-        std::size_t from = 0;
-        std::size_t to = 0;
-        peer_message content;
-    };
-    struct answer {
-        time_point at;
-        std::size_t to = 0;
-        store_table table{};
-        bool snapshot = false;
-        std::uint64_t after = 0;
-        std::optional<store_page> page; // received and not processed yet
-    };
-
-    routing_table make_routes() const {
-        routing_table table;
-        table.version = std::to_string(edits_);
-        for (std::size_t i = 0; i < routes_; ++i) {
-            route item;
-            item.name = "r" + std::to_string(i);
-            item.host = "h" + std::to_string(i) + ".example";
-            item.prefix = "/p/";
-            // An edit changes the first route only.
-            item.max_attempts = i == 0 ? edits_ : 2;
-            item.services = {{"svc", 1}};
-            item.time_limit = seconds(2);
-            item.objective = milliseconds(300);
-            table.routes.push_back(item);
-        }
-        return table;
-    }
-
-    // Returns when a transfer of that size over the node's link ends.
-    time_point link_transfer_end(std::size_t node, std::size_t bytes) {
-        auto& free = link_free_at_[node];
-        const auto time = static_cast<duration::rep>(
-            static_cast<double>(bytes) / bytes_per_us);
-        free = std::max(free, now) + duration(time);
-        return free;
-    }
-
-    // Returns when the store's response, sent over the reader's link, arrives.
-    time_point store_read_end(std::size_t node, store_table table,
-                              bool snapshot, std::uint64_t after) {
-        ++store_reads_;
-        std::size_t bytes = 0;
-        for (const auto& row : make_page(table, snapshot, after).rows) {
-            bytes += size_of(row);
-        }
-        return link_transfer_end(node, bytes) + link_delay;
-    }
-
-    store_page make_page(store_table table, bool snapshot,
-                         std::uint64_t after) const {
-        store_page page{table, snapshot, revision_, {}};
-        if (table == store_table::routing) {
-            if (snapshot || after < routes_changed_at_) {
-                page.rows.push_back(
-                    make_row(make_routes(), routes_changed_at_));
-            }
-        } else if (snapshot || after < server_changed_at_) {
-            registered_server server;
-            server.id = "s";
-            server.service = "svc";
-            server.address = "127.0.0.1:80";
-            server.leaving = server_leaving_;
-            page.rows.push_back(make_row(server, server_changed_at_));
-        }
-        return page;
-    }
-
-    void execute(std::size_t node, const read_snapshot& action) {
-        answers_.push_back({store_read_end(node, action.table, true, 0), node,
-                            action.table, true, 0});
-    }
-    void execute(std::size_t node, const read_changes& action) {
-        const bool changed = action.table == store_table::routing &&
-                             action.after < routes_changed_at_;
-        const auto wait = changed ? duration::zero() : action.wait;
-        answers_.push_back(
-            {store_read_end(node, action.table, false, action.after) + wait,
-             node, action.table, false, action.after});
-    }
-    void execute(std::size_t node, const send_to_peer& action) {
-        if (boost::random::bernoulli_distribution<double>(loss_rate_)(
-                engine_)) {
-            return;
-        }
-        if (const auto* rows = std::get_if<table_rows>(&action.message)) {
-            whole_rows_sent_ += static_cast<std::size_t>(std::count_if(
-                rows->rows.begin(), rows->rows.end(),
-                [](const raw_row& row) { return row.key == routing_row_key; }));
-        }
-        const auto to = std::stoul(action.peer_address.substr(
-                            action.peer_address.find(':') + 1)) -
-                        1000;
-        messages_.push_back(
-            {link_transfer_end(node, size_of(action.message)) + link_delay,
-             node, to, action.message});
-    }
-
-    void execute(std::size_t node, const directory_follower::actions& actions) {
-        for (const auto& item : actions) {
-            std::visit([&](const auto& action) { execute(node, action); },
-                       item);
-        }
-    }
-
-    void deliver() {
-        std::vector<message> due_messages;
-        std::erase_if(messages_, [&](const message& item) {
-            if (item.at <= now) {
-                due_messages.push_back(item);
-            }
-            return item.at <= now;
-        });
-        for (const auto& item : due_messages) {
-            if (alive[item.to]) {
-                execute(item.to, nodes_[item.to]->on_message(
-                                     address_of(item.from), item.content, now));
-            }
-        }
-        std::vector<answer> due_answers;
-        for (auto& item : answers_) {
-            if (item.at <= now && item.to == slow_node_ && !item.page &&
-                item.table == store_table::routing) {
-                item.page = make_page(item.table, item.snapshot, item.after);
-                item.at = now + processing_time_;
-                nodes_[item.to]->on_response_started(item.table);
-            }
-        }
-        std::erase_if(answers_, [&](const answer& item) {
-            if (item.at <= now) {
-                due_answers.push_back(item);
-            }
-            return item.at <= now;
-        });
-        for (const auto& item : due_answers) {
-            if (alive[item.to] && item.to >= refused_from_) {
-                execute(item.to,
-                        nodes_[item.to]->on_failed(
-                            item.table, store_failure::unreachable, now));
-            } else if (alive[item.to]) {
-                const auto page =
-                    item.page
-                        ? *item.page
-                        : make_page(item.table, item.snapshot, item.after);
-                execute(item.to, nodes_[item.to]->on_page(page, now));
-            }
-        }
-    }
-
-    double loss_rate_;
-    random_engine engine_;
-    std::vector<std::unique_ptr<directory_follower>> nodes_;
-    std::vector<message> messages_;
-    std::vector<answer> answers_;
-    std::vector<time_point> link_free_at_;
-    std::uint64_t revision_ = 10;
-    std::uint64_t routes_changed_at_ = 1;
-    std::size_t routes_ = 30;
-    unsigned edits_ = 1;
-    std::size_t store_reads_ = 0;
-    std::size_t whole_rows_sent_ = 0;
-    std::size_t refused_from_ = 1000;
-    std::uint64_t server_changed_at_ = 5;
-    bool server_leaving_ = false;
-    std::map<std::size_t, time_point> edited_at_; // by version
-    std::size_t slow_node_ = 1000;
-    duration processing_time_{};
-
-public:
-    std::vector<bool> alive;
-    time_point now;
-};
-
-} // namespace
-
 Test(spread, large_installation_has_few_readers) {
     simulated_cluster cluster(120, 0.01);
     cluster.run_until(start + seconds(12));
@@ -421,6 +80,27 @@
     cr_assert_leq(sent, 20, "%zu", sent);
 }
 
+// Regression test: each starting instance was sent the directory by all seeds,
+// again with each request until the first answer had arrived.
+Test(spread, restarted_instances_get_the_directory_once_in_their_domain) {
+    simulated_cluster cluster(60, 0, milliseconds(30));
+    cluster.run_until(start + seconds(10));
+    cluster.edit_routes(400);
+    cluster.run_until(cluster.now + seconds(3));
+    const auto before = cluster.whole_rows_sent();
+    const auto before_elsewhere = cluster.whole_rows_to_other_domains();
+    for (std::size_t i = 3; i < 60; ++i) {
+        cluster.restart(i);
+    }
+    cluster.run_until(cluster.now + seconds(2));
+    cr_assert_eq(cluster.count_with_newest_routes(), 60);
+    const auto elsewhere =
+        cluster.whole_rows_to_other_domains() - before_elsewhere;
+    const auto sent = cluster.whole_rows_sent() - before;
+    cr_assert_eq(elsewhere, 0, "%zu", elsewhere);
+    cr_assert_leq(sent, 57, "%zu", sent);
+}
+
 // Instances that the store refuses get large routes from their peers.
 Test(spread, edit_with_many_routes_reaches_instances_refused_by_the_store) {
     simulated_cluster cluster(40, 0.01);
