Handle peers' messages for at most 10 ms at a time

Cause: up to 64 datagrams were handled between two rounds of the event loop. Where each takes tens of milliseconds, as updates of many routes do on a slow instance, neither connections nor timers got their turn for seconds.

Evidence: the test slow_messages_do_not_hold_up_other_events failed before (ten messages in a row).

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -22,7 +22,9 @@
 constexpr std::size_t max_frame_bytes = 16U << 20U;
 constexpr std::size_t max_streams = 256;
 constexpr duration stream_lifetime = seconds(10);
+// Limits for the datagrams handled before other events get their turn.
 constexpr int datagrams_per_wakeup = 64;
+constexpr duration max_receive_time = std::chrono::milliseconds(10);
 constexpr int max_bind_attempts = 20;
 
 struct socket_address {
@@ -148,7 +150,8 @@
 
 void peer_link::receive() {
     std::vector<char> buffer(receive_buffer_bytes);
-    for (int i = 0; i < datagrams_per_wakeup; ++i) {
+    const auto end = loop_.now() + max_receive_time;
+    for (int i = 0; i < datagrams_per_wakeup && loop_.now() < end; ++i) {
         socket_address from;
         from.size = sizeof from.storage;
         const auto size = recvfrom(socket_, buffer.data(), buffer.size(), 0,
--- a/test/unit/listener_test.cpp
+++ b/test/unit/listener_test.cpp
@@ -1,11 +1,13 @@
 #include "adapters/http_listener.hpp"
+#include "adapters/peer_link.hpp"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
-// http_listener with a client that reads slowly.
+// http_listener and peer_link with slow clients and slow handlers.
 using namespace lacewingbeam;
 using std::chrono::milliseconds;
 
@@ -75,6 +77,29 @@
 
 } // namespace
 
+// Regression test: a batch of messages from peers held up everything else.
+Test(peer_link, slow_messages_do_not_hold_up_other_events) {
+    event_loop loop;
+    peer_link sender(loop, "127.0.0.1", 0, "key");
+    peer_link receiver(loop, "127.0.0.1", 0, "key");
+    for (int i = 0; i < 10; ++i) {
+        sender.send("127.0.0.1:" + std::to_string(receiver.port()),
+                    table_request{});
+    }
+    int handled = 0;
+    std::optional<int> handled_before_others;
+    receiver.received.connect([&](const std::string&, const peer_message&) {
+        if (++handled == 1) {
+            loop.defer([&] { handled_before_others = handled; });
+        }
+        const auto start = loop.now();
+        while (loop.now() - start < milliseconds(20)) {
+        }
+    });
+    cr_assert(run_until(loop, [&] { return handled == 10; }));
+    cr_assert_leq(*handled_before_others, 1);
+}
+
 // Guards against truncated responses at shutdown: the process must not exit
 // while a complete response is still being written to a slow client.
 Test(http_listener, large_response_is_unsent_until_caller_reads_it) {
