Show that late messages confirm outdated routes (known to fail)

While messages between instances take 3 s, peers of a reader go on deciding requests by routes that were replaced more than 2.5 s before: the age in a message is that of the moment of sending.

--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -120,18 +120,24 @@
     std::size_t count_with_outdated_routes(duration limit) const {
         std::size_t count = 0;
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            const auto* routes = nodes_[i]->view().routing();
-            const auto next =
-                routes == nullptr
-                    ? edited_at_.end()
-                    : edited_at_.upper_bound(std::stoul(routes->version));
-            const bool outdated =
-                next != edited_at_.end() && next->second + limit < now;
-            count += i != slow_node_ && alive[i] && outdated ? 1 : 0;
+            count += has_outdated_routes(i, limit) ? 1 : 0;
         }
         return count;
     }
 
+    // As above, counting only those that still decide requests.
+    std::size_t count_deciding_by_outdated_routes(duration limit) const {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            const bool decides = nodes_[i]->view().routes_valid_at(now);
+            count += decides && has_outdated_routes(i, limit) ? 1 : 0;
+        }
+        return count;
+    }
+
+    // Delays all messages between instances.
+    void congest(duration delay) { congestion_delay_ = delay; }
+
     void kill_readers() {
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             alive[i] = alive[i] && !nodes_[i]->is_reading();
@@ -169,6 +175,15 @@
     }
 
 private:
+    bool has_outdated_routes(std::size_t node, duration limit) const {
+        const auto* routes = nodes_[node]->view().routing();
+        if (routes == nullptr || node == slow_node_ || !alive[node]) {
+            return false;
+        }
+        const auto next = edited_at_.upper_bound(std::stoul(routes->version));
+        return next != edited_at_.end() && next->second + limit < now;
+    }
+
     std::unique_ptr<directory_follower> make_node(std::size_t number) const {
         follower_options options;
         random_engine seed(number + 1 +
@@ -286,9 +301,9 @@
             whole_rows_sent_ += whole ? 1 : 0;
             whole_rows_to_other_domains_ += whole && node % 3 != to % 3 ? 1 : 0;
         }
-        messages_.push_back(
-            {link_transfer_end(node, size_of(action.message)) + link_delay,
-             node, to, action.message});
+        messages_.push_back({link_transfer_end(node, size_of(action.message)) +
+                                 link_delay + congestion_delay_,
+                             node, to, action.message});
     }
 
     void execute(std::size_t node, const directory_follower::actions& actions) {
@@ -362,6 +377,7 @@
     std::map<std::size_t, time_point> edited_at_; // by version
     std::size_t slow_node_ = 1000;
     duration processing_time_{};
+    duration congestion_delay_{};
 
 public:
     std::vector<bool> alive;
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -154,6 +154,21 @@
     }
 }
 
+// Regression test: messages that had waited for seconds on a busy link
+// confirmed routes as if they had just been sent.
+Test(known_red, late_messages_do_not_keep_outdated_routes_in_force) {
+    simulated_cluster cluster(60, 0.01);
+    cluster.run_until(start + seconds(10));
+    cluster.congest(seconds(3));
+    cluster.run_until(cluster.now + seconds(8));
+    for (int i = 0; i < 25; ++i) {
+        cluster.edit_routes(400);
+        cluster.run_until(cluster.now + milliseconds(400));
+        cr_assert_eq(
+            cluster.count_deciding_by_outdated_routes(milliseconds(2500)), 0);
+    }
+}
+
 Test(spread, small_installation_has_one_reader) {
     simulated_cluster cluster(13, 0);
     cluster.run_until(start + seconds(10));
