--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -30,6 +30,7 @@
     int work_ms = 20;
     bool leaving = false;
     bool refuse_all = false; // although it reports free slots
+    std::string limit;       // named in each response, unless empty
     // The number of coming responses with each fault:
     int lose_answers = 0;     // connection closed after the run
     int extra_answers = 0;    // followed by a second response
@@ -103,6 +104,9 @@
                         std::to_string(running_) + "," +
                             std::to_string(waiting_.size()) + "," +
                             std::to_string(behaviour_.slots) + ",100");
+    if (!behaviour_.limit.empty()) {
+        request->add_header("Server-Limit", behaviour_.limit);
+    }
 }
 
 void backend_server::reply_to_health_check(const request_ptr& request) {
@@ -119,6 +123,7 @@
         behaviour_.work_ms = body.value("work_ms", behaviour_.work_ms);
         behaviour_.leaving = body.value("leaving", behaviour_.leaving);
         behaviour_.refuse_all = body.value("refuse_all", behaviour_.refuse_all);
+        behaviour_.limit = body.value("limit", behaviour_.limit);
         behaviour_.lose_answers =
             body.value("lose_answers", behaviour_.lose_answers);
         behaviour_.extra_answers =
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -77,6 +77,29 @@
 TestSuite(router_process, .init = start_cluster, .fini = stop_cluster,
           .timeout = 60);
 
+TestSuite(known_red, .init = start_cluster, .fini = stop_cluster,
+          .timeout = 60);
+
+// Regression test: a server that named a limit for its requests got as many as
+// before.
+Test(known_red, server_that_names_a_limit_gets_no_more_requests) {
+    cluster->add_server("one", "s2");
+    cr_assert(eventually([] {
+        return cluster->log_of(router()).find("servers=2") != std::string::npos;
+    }));
+    set_behaviour("s1", {{"limit", "1.0"}});
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < 80; ++i) {
+        const auto id = "limited-" + std::to_string(i);
+        assert_complete(send_request(get_request("/safe/x", id)), id, 300);
+    }
+    const std::chrono::duration<double> elapsed =
+        std::chrono::steady_clock::now() - start;
+    const auto allowed = 5 + 1.5 * elapsed.count();
+    const auto arrived = count_lines("s1", "arrived limited");
+    cr_assert_leq(arrived, allowed, "%u, allowed %f", arrived, allowed);
+}
+
 Test(router_process, response_with_length_or_in_chunks_is_complete) {
     assert_complete(send_request(get_request("/safe/x?bytes=100000", "a")), "a",
                     100000);
