End responses whose unprocessed bytes have no bound

A faulty backend server may send bytes without end until the caller closes, in a head or a body. A head was already bounded by its size limit and a body by that of the gateway, but evhttp collects the line with the size of a chunk, and a chunk, without a limit, so one server could use up an instance's memory within the time of a request.

Now more than 9 MB of received bytes that evhttp does not process make the response malformed and close the connection.

--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -145,6 +145,8 @@
     evhttp_connection_set_closecb(created->handle, on_close, created.get());
     evbuffer_add_cb(bufferevent_get_output(created->stream()), on_output,
                     created.get());
+    evbuffer_add_cb(bufferevent_get_input(created->stream()), on_input,
+                    created.get());
     auto* opened = created.get();
     connections_.emplace(opened, std::move(created));
     ++open_by_address_[address];
@@ -356,6 +358,18 @@
     }
 }
 
+void connection_pool::on_input(evbuffer* buffer, const evbuffer_cb_info* info,
+                               void* argument) {
+    auto* self = static_cast<connection*>(argument);
+    const auto limit = self->pool->options_.max_unprocessed_bytes;
+    const bool too_long =
+        info->n_added > 0 && evbuffer_get_length(buffer) > limit;
+    if (too_long && self->current != nullptr && !self->current->paused) {
+        self->current->problem = exchange_problem::malformed;
+        self->pool->fail_later(self->current->id);
+    }
+}
+
 void connection_pool::on_output(evbuffer*, const evbuffer_cb_info* info,
                                 void* argument) {
     auto* self = static_cast<connection*>(argument);
--- a/src/adapters/connection_pool.hpp
+++ b/src/adapters/connection_pool.hpp
@@ -56,6 +56,9 @@
     duration stall_timeout = std::chrono::seconds(10);
     duration idle_timeout = std::chrono::seconds(30);
     std::size_t max_header_bytes = 65536;
+    // Received bytes that evhttp holds back: a head, the size of a chunk, or a
+    // chunk that is not complete. With more, the response is malformed.
+    std::size_t max_unprocessed_bytes = 9U << 20U;
     bool allow_close_delimited = false; // accept responses delimited by close
 };
 
@@ -109,6 +112,8 @@
     static void on_error(evhttp_request_error error, void* argument);
     static void on_done(evhttp_request* request, void* argument);
     static void on_close(evhttp_connection*, void* argument);
+    static void on_input(evbuffer* buffer, const evbuffer_cb_info* info,
+                         void* argument);
     static void on_output(evbuffer*, const evbuffer_cb_info* info,
                           void* argument);
 
