--- a/include/lacewingbeam/row_delta.hpp
+++ b/include/lacewingbeam/row_delta.hpp
@@ -19,7 +19,7 @@
     std::vector<cell> cells;          // new or changed
     std::vector<std::string> removed; // names
     // Further versions to which the delta may be applied.
-    std::vector<std::uint64_t> later_bases;
+    std::vector<std::uint64_t> later_bases = {};
 
     bool applies_to(std::uint64_t held) const;
     bool operator==(const row_delta&) const = default;
--- a/src/decisions/placing/server_limits.cpp
+++ b/src/decisions/placing/server_limits.cpp
@@ -92,7 +92,7 @@
     entry added{per_second, token_bucket(0, max_saved_requests, now),
                 draw_trial_time(per_second, now)};
     added.share.set_rate(share_rate(server, added), now);
-    entries_.emplace(std::string(server), std::move(added));
+    entries_.emplace(std::string(server), added);
     return true;
 }
 
--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -214,7 +214,7 @@
         store_table table{};
         bool snapshot = false;
         std::uint64_t after = 0;
-        std::optional<store_page> page; // received and not processed yet
+        std::optional<store_page> page = {}; // received and not processed yet
     };
 
     routing_table make_routes() const {
