--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -148,15 +148,22 @@
     void edit_routes(std::size_t count) {
         ++edits_;
         edited_at_[edits_] = now;
-        routes_ = count;
-        routes_changed_at_ = ++revision_;
-        for (auto& item : answers_) {
-            if (item.table == store_table::routing && !item.page) {
-                item.at = now + link_delay; // ends the long poll
-            }
-        }
+        write_routes(edits_, count);
     }
 
+    // Saves a copy of the store's rows, to which restore_store() returns.
+    void copy_store() { copy_ = store_; }
+
+    // The store loses all changes since the copy, and assigns their revisions
+    // again.
+    void restore_store() {
+        store_ = copy_;
+        ++store_.era;
+    }
+
+    // The operators write their last edit again.
+    void write_routes_again() { write_routes(edits_, store_.routes); }
+
     std::size_t store_reads() const { return store_reads_; }
 
     // Counts the routes that peers sent to each other as a whole.
@@ -169,12 +176,32 @@
     void refuse_from(std::size_t first) { refused_from_ = first; }
 
     void drain_server() {
-        ++revision_;
-        server_leaving_ = true;
-        server_changed_at_ = revision_;
+        store_.server_leaving = true;
+        store_.server_changed_at = ++store_.revision;
     }
 
 private:
+    struct store_rows {
+        std::uint64_t era = 1;
+        std::uint64_t revision = 10;
+        std::uint64_t routes_changed_at = 1;
+        std::size_t routes = 30;
+        unsigned edit = 1; // version of the routes
+        std::uint64_t server_changed_at = 5;
+        bool server_leaving = false;
+    };
+
+    void write_routes(unsigned edit, std::size_t count) {
+        store_.edit = edit;
+        store_.routes = count;
+        store_.routes_changed_at = ++store_.revision;
+        for (auto& item : answers_) {
+            if (item.table == store_table::routing && !item.page) {
+                item.at = now + link_delay; // ends the long poll
+            }
+        }
+    }
+
     bool has_outdated_routes(std::size_t node, duration limit) const {
         const auto* routes = nodes_[node]->view().routing();
         if (routes == nullptr || node == slow_node_ || !alive[node]) {
@@ -219,14 +246,14 @@
 
     routing_table make_routes() const {
         routing_table table;
-        table.version = std::to_string(edits_);
-        for (std::size_t i = 0; i < routes_; ++i) {
+        table.version = std::to_string(store_.edit);
+        for (std::size_t i = 0; i < store_.routes; ++i) {
             route item;
             item.name = "r" + std::to_string(i);
             item.host = "h" + std::to_string(i) + ".example";
             item.prefix = "/p/";
             // An edit changes the first route only.
-            item.max_attempts = i == 0 ? edits_ : 2;
+            item.max_attempts = i == 0 ? store_.edit : 2;
             item.services = {{"svc", 1}};
             item.time_limit = seconds(2);
             item.objective = milliseconds(300);
@@ -257,20 +284,23 @@
 
     store_page make_page(store_table table, bool snapshot,
                          std::uint64_t after) const {
-        store_page page{
-            table, snapshot, revision_, {}, store_time(now.time_since_epoch())};
+        store_page page{table,
+                        snapshot,
+                        store_.revision,
+                        {},
+                        store_time(now.time_since_epoch())};
         if (table == store_table::routing) {
-            if (snapshot || after < routes_changed_at_) {
+            if (snapshot || after < store_.routes_changed_at) {
                 page.rows.push_back(
-                    make_row(make_routes(), routes_changed_at_));
+                    make_row(make_routes(), store_.routes_changed_at));
             }
-        } else if (snapshot || after < server_changed_at_) {
+        } else if (snapshot || after < store_.server_changed_at) {
             registered_server server;
             server.id = "s";
             server.service = "svc";
             server.address = "127.0.0.1:80";
-            server.leaving = server_leaving_;
-            page.rows.push_back(make_row(server, server_changed_at_));
+            server.leaving = store_.server_leaving;
+            page.rows.push_back(make_row(server, store_.server_changed_at));
         }
         return page;
     }
@@ -281,7 +311,7 @@
     }
     void execute(std::size_t node, const read_changes& action) {
         const bool changed = action.table == store_table::routing &&
-                             action.after < routes_changed_at_;
+                             action.after < store_.routes_changed_at;
         const auto wait = changed ? duration::zero() : action.wait;
         answers_.push_back(
             {store_read_end(node, action.table, false, action.after) + wait,
@@ -347,6 +377,10 @@
                 execute(item.to,
                         nodes_[item.to]->on_failed(
                             item.table, store_failure::unreachable, now));
+            } else if (alive[item.to] && item.after > store_.revision) {
+                execute(item.to,
+                        nodes_[item.to]->on_failed(
+                            item.table, store_failure::history_compacted, now));
             } else if (alive[item.to]) {
                 const auto page =
                     item.page
@@ -364,16 +398,13 @@
     std::vector<message> messages_;
     std::vector<answer> answers_;
     std::vector<time_point> link_free_at_;
-    std::uint64_t revision_ = 10;
-    std::uint64_t routes_changed_at_ = 1;
-    std::size_t routes_ = 30;
-    unsigned edits_ = 1;
+    store_rows store_;
+    store_rows copy_;
+    unsigned edits_ = 1; // the operators' last
     std::size_t store_reads_ = 0;
     std::size_t whole_rows_sent_ = 0;
     std::size_t whole_rows_to_other_domains_ = 0;
     std::size_t refused_from_ = 1000;
-    std::uint64_t server_changed_at_ = 5;
-    bool server_leaving_ = false;
     std::map<std::size_t, time_point> edited_at_; // by version
     std::size_t slow_node_ = 1000;
     duration processing_time_{};
