--- a/include/lacewingbeam/directory.hpp
+++ b/include/lacewingbeam/directory.hpp
@@ -33,7 +33,7 @@
 };
 
 inline constexpr std::string_view server_row_prefix = "server/";
-raw_row make_row(const registered_server& server, std::uint64_t revision);
+raw_row make_row(const registered_server& server, store_version version);
 
 // Parses a row made by make_row. Throws table_error if it is invalid.
 registered_server parse_registered_server(const raw_row& row);
@@ -44,10 +44,16 @@
     time_point cold_until;
 };
 
-// Rows by key, each with the store revision of its last change. A row is only
-// replaced by one with a higher revision, so rows may arrive in any order and
-// no edit is reverted. Removed rows remain as tombstones for
-// tombstone_lifetime.
+// Returns true if two rows differ at most in the remaining warm-up time, and it
+// is zero in both or in neither.
+bool same_registration(const raw_row& a, const raw_row& b);
+
+// Rows by key, each with the version of its last change. Routes are only
+// replaced by those with a higher number of the operators. A server's row is
+// only replaced by one with a higher version, so rows may arrive in any order
+// and no edit is reverted. If the store was restored, and its row is older than
+// the one held, the one held is kept under a version of the new era. Removed
+// rows remain as tombstones for tombstone_lifetime.
 class directory {
 public:
     static constexpr duration tombstone_lifetime = std::chrono::seconds(120);
@@ -56,12 +62,14 @@
         bool routing = false;
         std::vector<std::string> servers;  // ids added, changed or removed
         std::vector<std::string> rejected; // one message per invalid row
+        std::vector<std::string> kept; // ids with older rows after a restore
     };
 
     change apply(std::span<const raw_row> rows, time_point now);
 
-    // Returns the rows changed after a revision, in order of key.
-    std::vector<raw_row> rows_after(std::uint64_t revision) const;
+    // Returns the servers' rows changed after a version, and the routes, in
+    // order of key.
+    std::vector<raw_row> rows_after(const store_version& version) const;
 
     // Returns a checksum that is equal for two directories with the same routes
     // and servers, regardless of revisions.
@@ -70,16 +78,25 @@
     // Returns the row, which may be a tombstone, or null if it is unknown.
     const raw_row* find_row(std::string_view key) const;
 
-    // Returns the changes of the routes from a revision on, or nullopt if these
+    // Returns the changes of the routes from a version on, or nullopt if these
     // are not remembered.
-    std::optional<row_delta> route_changes_since(std::uint64_t revision) const;
+    std::optional<row_delta> route_changes_since(std::uint64_t version) const;
 
     // Returns the latest changes of the routes that take at most max_bytes, or
     // nullopt if there are none.
     std::optional<row_delta> latest_route_changes(std::size_t max_bytes) const;
 
-    // Returns the row's revision, or 0 if the row is unknown.
-    std::uint64_t revision_of(std::string_view key) const;
+    // Returns the row's version, or 0 if the row is unknown.
+    store_version version_of(std::string_view key) const;
+
+    // Returns the operators' number of the routes, or 0 without routes.
+    std::uint64_t routes_version() const {
+        return version_of(routing_row_key).revision;
+    }
+
+    // Returns true if rows were kept that were newer than those of a restored
+    // store.
+    bool has_kept_rows() const;
 
     // Returns null until routes have been received.
     const routing_table* routing() const {
@@ -119,7 +136,7 @@
     std::map<std::string, stored_row, std::less<>> rows_;
     std::uint64_t digest_ = 0;
     std::optional<routing_table> routing_;
-    std::uint64_t routing_row_version_ = 0; // from which routing_ was parsed
+    store_version routing_row_version_; // from which routing_ was parsed
     row_history route_history_;
     time_point routes_valid_until_ = time_point::max();
     std::map<std::string, known_server, std::less<>> servers_;
--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -42,7 +42,8 @@
 
 using follower_action = std::variant<read_snapshot, read_changes, send_to_peer>;
 
-// A response from the store, converted to raw rows.
+// A response from the store, converted to raw rows. Its era is that of
+// answered_at.
 struct store_page {
     store_table table{};
     bool snapshot = false;
@@ -73,6 +74,10 @@
 
     // Time after an outage of the store for which removals are deferred.
     duration return_hold = std::chrono::milliseconds(2200);
+
+    // Time after a restore of the store for which servers' rows that are newer
+    // than its copy are kept, unless they are written again.
+    duration restored_copy_distrust = std::chrono::seconds(10);
 };
 
 struct follower_options {
@@ -108,6 +113,17 @@
     actions on_page(const store_page& page, time_point now);
     actions on_failed(store_table table, store_failure failure, time_point now);
 
+    // Processes the era that a response of the store states, failures included.
+    // A later one than before shows that the store was restored from a copy.
+    void on_era(std::uint64_t era, time_point now);
+    std::uint64_t era() const { return era_; }
+
+    // Returns the number of the routes that the store showed in its last read,
+    // if it is lower than that of the routes held, and 0 otherwise.
+    std::uint64_t outdated_store_routes() const {
+        return store_routes_outdated_ ? store_routes_ : 0;
+    }
+
     actions on_message(const std::string& from, const peer_message& message,
                        time_point now);
 
@@ -206,15 +222,21 @@
     void relay(table_rows rows, time_point now, actions& out);
     bool is_new_update(const table_rows& rows);
     void mark_in_sync(const table_rows& rows, time_point now, actions& out);
-    std::uint64_t read_revision() const;
+    store_version read_version() const;
     void request_from_seeds(time_point now, actions& out);
-    void request_rows(const std::string& from, const table_rows& rows,
+    void request_rows(const std::string& peer, bool include_large_rows,
                       time_point now, actions& out);
     void start_read(store_table table, time_point now, actions& out);
     std::vector<raw_row> drop_unchanged(std::vector<raw_row> rows) const;
     void complete_direct_read(time_point now, actions& out);
     void add_missing_tombstones(const store_page& page,
                                 std::vector<raw_row>& rows) const;
+    std::vector<raw_row> to_rows_of_era(const store_page& page) const;
+    void note_store_routes(const store_page& page);
+    void end_copy_distrust(time_point now);
+    bool lacks_newest_routes(time_point now) const;
+    void request_newer_routes(const std::string& peer, time_point now,
+                              actions& out);
     void defer_removals(const table_state& state, std::vector<raw_row>& rows,
                         time_point now);
     void apply_deferred_removals(time_point now, actions& out);
@@ -232,7 +254,7 @@
     void omit_known_routes(table_rows& answer,
                            std::uint64_t peer_version) const;
     void set_as_of(table_rows& message) const;
-    void note_peer_routes(std::uint64_t revision, store_time as_of,
+    void note_peer_routes(std::uint64_t version, store_time as_of,
                           time_point now);
     std::optional<time_point> own_reads_at() const {
         return freshness_.to_local(freshness_.own_reads_as_of());
@@ -261,8 +283,18 @@
     // When the whole directory was last sent, by peer address.
     std::map<std::string, time_point> whole_answers_;
     std::uint64_t update_number_ = 0; // of the last update published
-    // Every change up to this revision is stored.
-    std::uint64_t complete_revision_ = 0;
+    // Every change up to this version is stored.
+    store_version complete_version_;
+    std::uint64_t era_ = 0; // latest known era of the store
+    // Rows of the store may be those of an old copy until then.
+    std::optional<time_point> copy_distrusted_until_;
+    // Routes that the store showed in this era; 0 before the first read.
+    std::uint64_t store_routes_ = 0;
+    bool store_routes_outdated_ = false;
+    // Newest routes that a peer was last known to hold, and when it told so.
+    std::uint64_t newest_peer_routes_ = 0;
+    time_point newest_routes_told_at_;
+    std::optional<time_point> behind_since_;
     std::vector<std::string> seeds_;
     time_point next_seed_request_;
     time_point startup_read_at_; // may read the store from this time on
--- a/include/lacewingbeam/freshness.hpp
+++ b/include/lacewingbeam/freshness.hpp
@@ -2,6 +2,7 @@
 #define LACEWINGBEAM_FRESHNESS_HPP
 
 #include "core.hpp"
+#include "store_version.hpp"
 
 #include <array>
 #include <chrono>
@@ -15,21 +16,23 @@
 enum class store_table { routing, servers };
 inline constexpr std::size_t store_table_count = 2;
 
-// The store's own clock, which all instances can refer to.
-struct store_clock {};
-using store_time = std::chrono::time_point<store_clock, duration>;
-
 // A response contains every change that the store accepted before the time that
 // the response states. Instances tell each other such times, so that the delay
 // of a message does not matter. Each estimates the store's clock from its own
 // reads: the clock cannot be further ahead than if the response had been made
-// when the read was sent.
+// when the read was sent. A restore of the store begins a new era, in which
+// each instance has to learn the clock again.
 class freshness_tracker {
 public:
     void on_read_started(store_table table, time_point now);
 
-    // All rows of the response have been applied.
-    void on_read_completed(store_table table, store_time answered_at);
+    // All rows of the response have been applied. It does not confirm the rows
+    // held if a peer is known to hold newer ones.
+    void on_read_completed(store_table table, store_time answered_at,
+                           bool confirms = true);
+
+    // Ends the earlier eras. Their times say nothing about the store any more.
+    void on_era(std::uint64_t era);
 
     // A peer's routes were the newest at `as_of`, and those held here are at
     // least as new if `held` is true.
@@ -39,6 +42,10 @@
     // newest, or nullopt before the first confirmation.
     std::optional<store_time> routes_as_of() const;
 
+    // Returns the same as local time. It does not change with the era, since
+    // the rows held are not older than those of a restored store.
+    std::optional<time_point> routes_confirmed_at() const;
+
     // Returns the time as of which this instance's own reads have confirmed
     // both tables.
     std::optional<store_time> own_reads_as_of() const;
@@ -50,7 +57,8 @@
     }
 
     // Returns the local time that is not later than a time of the store's
-    // clock, or nullopt if this instance must read the store to tell.
+    // clock, or nullopt if this instance must read the store to tell, or the
+    // time is of an earlier era.
     std::optional<time_point> to_local(std::optional<store_time> time) const;
 
     // Returns the longest time that can have passed since then.
@@ -71,6 +79,9 @@
     std::array<read, store_table_count> reads_;
     std::optional<store_time> peer_routes_as_of_;
     std::optional<store_time> store_answered_at_;
+    // When the routes were last confirmed in an earlier era.
+    std::optional<time_point> earlier_confirmed_at_;
+    std::uint64_t era_ = 0;
     // Upper bound of the store's clock minus the local clock.
     std::optional<duration> clock_ahead_;
 };
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -50,10 +50,10 @@
 // Requests table rows newer than `have_version` from a peer. A peer answers
 // even if it has no newer rows; the answer then confirms the version held.
 struct table_request {
-    std::uint64_t have_version = 0;
+    store_version have_version;
     std::uint64_t number = 0;         // assigned by the sender
     bool include_large_rows = false;  // set if the sender cannot read the store
-    std::uint64_t routes_version = 0; // revision of the sender's routes, or 0
+    std::uint64_t routes_version = 0; // of the sender's routes, or 0
     // Only instances in this failure domain answer; empty: all.
     std::string failure_domain = {};
 };
@@ -61,14 +61,14 @@
 // Answers a table_request, or announces changed rows.
 struct table_rows {
     std::uint64_t request_number = 0;
-    std::uint64_t table_version = 0; // of the last row if has_more
+    store_version table_version; // of the last row if has_more
     duration age{};
     std::vector<raw_row> rows;
     std::vector<row_delta> deltas;
     std::size_t omitted_bytes = 0;    // size of rows too large for a message
     bool has_more = false;            // newer rows remain to be requested
     std::uint64_t digest = 0;         // of all directory rows; 0 without one
-    std::uint64_t routes_version = 0; // revision of the routes; 0 without them
+    std::uint64_t routes_version = 0; // of the routes; 0 without them
     store_time routes_as_of{}; // when they were last known to be the newest
     store_time as_of{};        // the same for the whole directory
     // The instance that read these rows from the platform and announces them
--- a/include/lacewingbeam/routing.hpp
+++ b/include/lacewingbeam/routing.hpp
@@ -77,8 +77,10 @@
 };
 
 // The key of the row that holds a routing table, and the encoding of that row.
+// Operators number their versions. The number orders the rows, so that routes
+// do not go back when the store does.
 inline constexpr std::string_view routing_row_key = "routing";
-raw_row make_row(const routing_table& table, std::uint64_t revision);
+raw_row make_row(const routing_table& table, std::uint64_t number);
 
 // Parses a row made by make_row. Throws table_error if it is invalid.
 routing_table parse_routing(const raw_row& row);
--- a/include/lacewingbeam/row_delta.hpp
+++ b/include/lacewingbeam/row_delta.hpp
@@ -11,7 +11,8 @@
 namespace lacewingbeam {
 
 // The difference between two versions of a row. An edit changes few cells of a
-// large row, so sending only these saves bandwidth on slow links.
+// large row, so sending only these saves bandwidth on slow links. Versions are
+// numbers that the row's writer assigned, regardless of eras of the store.
 struct row_delta {
     std::string key;
     std::uint64_t base_version = 0;
--- a/include/lacewingbeam/table.hpp
+++ b/include/lacewingbeam/table.hpp
@@ -2,6 +2,7 @@
 #define LACEWINGBEAM_TABLE_HPP
 
 #include "core.hpp"
+#include "store_version.hpp"
 
 #include <cstdint>
 #include <map>
@@ -22,11 +23,13 @@
     bool operator==(const cell&) const = default;
 };
 
-// A row as the platform stores it. The version is the table's version at the
-// row's last write; a deleted row remains as a tombstone.
+// A row as the platform stores it. The version is that of the row's last write:
+// the table's version in the operators' table, the operators' own number for a
+// router's routes, and the metadata store's version for a backend server. A
+// deleted row remains as a tombstone.
 struct raw_row {
     std::string key;
-    std::uint64_t version = 0;
+    store_version version;
     bool deleted = false;
     std::vector<cell> cells;
 
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -37,9 +37,12 @@
   // The time, by the store's clock, at which the routes of table_version were
   // last known to be the newest.
   10: i64 routes_as_of_ms,
+  // The era of the metadata store in which that clock counts.
+  11: i64 routes_as_of_era,
 }
 
 struct table_request {
+  // Revision of the metadata store, in the era have_era.
   1: i64 have_version,
   2: i64 number,
   // Include large rows in the response.
@@ -48,6 +51,7 @@
   4: i64 routes_version,
   // Failure domain of the sender, if only instances in it shall answer.
   5: string failure_domain,
+  6: i64 have_era,
 }
 
 struct cell {
@@ -60,6 +64,10 @@
   2: i64 version,
   3: bool deleted,
   4: list<cell> cells,
+  // The era of the metadata store that assigned the version, and the highest
+  // version of earlier eras that the row replaces.
+  5: i64 era,
+  6: i64 replaces,
 }
 
 // The cells of a row that changed since its base version.
@@ -94,6 +102,10 @@
   10: i64 routes_version,
   11: i64 routes_as_of_ms,
   12: i64 as_of_ms,
+  // The eras of the metadata store to which table_version and both times belong.
+  13: i64 table_era,
+  14: i64 routes_as_of_era,
+  15: i64 as_of_era,
 }
 
 struct peer_message {
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 33> catalogue{{
+constexpr std::array<event_description, 35> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -47,6 +47,12 @@
      "a reader, or no reader sent it updates."},
     {event_number::reading_ended, log_level::info, "reading_ended",
      "The instance receives metadata store updates from its peers again."},
+    {event_number::store_restored, log_level::warning, "store_restored",
+     "The metadata store was restored from a copy and lost its latest "
+     "changes."},
+    {event_number::older_rows_ignored, log_level::warning, "older_rows_ignored",
+     "A restored metadata store shows older rows than the instance holds, "
+     "which stay in effect."},
     {event_number::peer_joined, log_level::info, "peer_joined",
      "The first heartbeat of a peer was received."},
     {event_number::peer_suspected, log_level::warning, "peer_suspected",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -33,6 +33,8 @@
     table_confirmed = 1106,
     reading_began = 1107,
     reading_ended = 1108,
+    store_restored = 1109,
+    older_rows_ignored = 1110,
     peer_joined = 1201,
     peer_suspected = 1202,
     peer_gone = 1203,
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -201,7 +201,7 @@
                    {"deleted", item.row.deleted},
                    {"cells", write_json_cells(item.row)}};
         if (!item.unconditional) {
-            entry["expected_version"] = item.row.version;
+            entry["expected_version"] = item.row.version.revision;
         }
         list.push_back(std::move(entry));
     }
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -38,15 +38,16 @@
 
 std::int64_t to_ms_count(store_time value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
-               value.time_since_epoch())
+               value.since_start)
         .count();
 }
 
-store_time to_store_time(std::int64_t ms) {
+store_time to_store_time(std::int64_t ms, std::int64_t era) {
     constexpr std::int64_t max_ms =
         std::numeric_limits<std::int64_t>::max() / duration::period::den;
     return store_time(
-        std::chrono::milliseconds(std::clamp<std::int64_t>(ms, 0, max_ms)));
+        std::chrono::milliseconds(std::clamp<std::int64_t>(ms, 0, max_ms)),
+        static_cast<std::uint64_t>(era));
 }
 
 std::int16_t clamp_count(unsigned value) {
@@ -133,7 +134,9 @@
 wire::row to_wire(const raw_row& value) {
     wire::row out;
     out.key = value.key;
-    out.version = static_cast<std::int64_t>(value.version);
+    out.version = static_cast<std::int64_t>(value.version.revision);
+    out.era = static_cast<std::int64_t>(value.version.era);
+    out.replaces = static_cast<std::int64_t>(value.version.replaces);
     out.deleted = value.deleted;
     out.cells = to_wire(value.cells);
     return out;
@@ -162,7 +165,9 @@
 raw_row from_wire(const wire::row& value) {
     raw_row out;
     out.key = value.key;
-    out.version = static_cast<std::uint64_t>(value.version);
+    out.version = {static_cast<std::uint64_t>(value.era),
+                   static_cast<std::uint64_t>(value.version),
+                   static_cast<std::uint64_t>(value.replaces)};
     out.deleted = value.deleted;
     out.cells = from_wire(value.cells);
     return out;
@@ -178,6 +183,8 @@
         beat.table_version = static_cast<std::int64_t>(value.table_version);
         beat.table_age_ms = clamp_ms(value.table_age);
         beat.routes_as_of_ms = to_ms_count(value.routes_as_of);
+        beat.routes_as_of_era =
+            static_cast<std::int64_t>(value.routes_as_of.era);
         for (const auto& item : value.loads) {
             beat.load_hashes.push_back(
                 static_cast<std::int32_t>(item.server_hash));
@@ -199,7 +206,9 @@
 
     void operator()(const table_request& value) const {
         wire::table_request request;
-        request.have_version = static_cast<std::int64_t>(value.have_version);
+        request.have_version =
+            static_cast<std::int64_t>(value.have_version.revision);
+        request.have_era = static_cast<std::int64_t>(value.have_version.era);
         request.number = static_cast<std::int64_t>(value.number);
         request.whole = value.include_large_rows;
         request.routes_version =
@@ -210,7 +219,9 @@
 
     void operator()(const table_rows& value) const {
         wire::table_rows rows;
-        rows.table_version = static_cast<std::int64_t>(value.table_version);
+        rows.table_version =
+            static_cast<std::int64_t>(value.table_version.revision);
+        rows.table_era = static_cast<std::int64_t>(value.table_version.era);
         rows.age_ms = clamp_ms(value.age);
         rows.request_number = static_cast<std::int64_t>(value.request_number);
         rows.more = value.has_more;
@@ -228,7 +239,10 @@
         rows.left_out = static_cast<std::int32_t>(value.omitted_bytes);
         rows.routes_version = static_cast<std::int64_t>(value.routes_version);
         rows.routes_as_of_ms = to_ms_count(value.routes_as_of);
+        rows.routes_as_of_era =
+            static_cast<std::int64_t>(value.routes_as_of.era);
         rows.as_of_ms = to_ms_count(value.as_of);
+        rows.as_of_era = static_cast<std::int64_t>(value.as_of.era);
         out.__set_rows(rows);
     }
 };
@@ -239,7 +253,8 @@
     beat.sequence = static_cast<std::uint64_t>(value.sequence);
     beat.table_version = static_cast<std::uint64_t>(value.table_version);
     beat.table_age = from_ms(value.table_age_ms);
-    beat.routes_as_of = to_store_time(value.routes_as_of_ms);
+    beat.routes_as_of =
+        to_store_time(value.routes_as_of_ms, value.routes_as_of_era);
     if (value.load_in_flight.size() != value.load_hashes.size() ||
         value.load_long.size() != value.load_hashes.size()) {
         throw wire_error("load lists differ in length");
@@ -261,7 +276,8 @@
 
 table_rows read_rows(const wire::table_rows& value) {
     table_rows rows;
-    rows.table_version = static_cast<std::uint64_t>(value.table_version);
+    rows.table_version = {static_cast<std::uint64_t>(value.table_era),
+                          static_cast<std::uint64_t>(value.table_version)};
     rows.age = from_ms(value.age_ms);
     rows.request_number = static_cast<std::uint64_t>(value.request_number);
     rows.has_more = value.more;
@@ -278,8 +294,9 @@
     rows.omitted_bytes =
         static_cast<std::size_t>(std::max<std::int32_t>(0, value.left_out));
     rows.routes_version = static_cast<std::uint64_t>(value.routes_version);
-    rows.routes_as_of = to_store_time(value.routes_as_of_ms);
-    rows.as_of = to_store_time(value.as_of_ms);
+    rows.routes_as_of =
+        to_store_time(value.routes_as_of_ms, value.routes_as_of_era);
+    rows.as_of = to_store_time(value.as_of_ms, value.as_of_era);
     return rows;
 }
 
@@ -335,7 +352,8 @@
     }
     if (message.__isset.request) {
         return table_request{
-            static_cast<std::uint64_t>(message.request.have_version),
+            {static_cast<std::uint64_t>(message.request.have_era),
+             static_cast<std::uint64_t>(message.request.have_version)},
             static_cast<std::uint64_t>(message.request.number),
             message.request.whole,
             static_cast<std::uint64_t>(message.request.routes_version),
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -209,7 +209,8 @@
     table_rows answer;
     answer.request_number = request.number;
     answer.age = table_age(now);
-    answer.rows = table_.rows_after(request.have_version, rows_per_message);
+    answer.rows =
+        table_.rows_after(request.have_version.revision, rows_per_message);
     answer.has_more = answer.rows.size() == rows_per_message;
     answer.table_version =
         answer.has_more ? answer.rows.back().version : table_.version();
@@ -239,11 +240,12 @@
     const auto answered = *request;
     table_requests_.erase(request);
     if (rows.has_more) {
-        on_table(rows.rows, rows.table_version, std::nullopt, now);
+        on_table(rows.rows, rows.table_version.revision, std::nullopt, now);
         request_table(from.empty() ? answered.peer_address : from, now, out);
         return;
     }
-    on_table(rows.rows, rows.table_version, answered.sent_at - rows.age, now);
+    on_table(rows.rows, rows.table_version.revision,
+             answered.sent_at - rows.age, now);
 }
 
 void coordinator::confirm_after_pause(time_point now, actions& out) {
--- a/src/decisions/knowledge/directory.cpp
+++ b/src/decisions/knowledge/directory.cpp
@@ -3,6 +3,7 @@
 #include "lacewingbeam/endpoint.hpp"
 #include "lacewingbeam/number.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingbeam {
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::string_view cold_cell = "cold_us";
+constexpr std::string_view started_at_cell = "started_at";
 
 [[noreturn]] void reject(const raw_row& row, std::string_view cell_name) {
     throw table_error("row " + row.key + ", cell " + std::string(cell_name) +
@@ -41,12 +43,77 @@
     return hash(text);
 }
 
+bool is_cold(const raw_row& row) {
+    return row.value_of(cold_cell) != "0";
+}
+
+bool is_leaving(const raw_row& row) {
+    return row.value_of("state") != "active";
+}
+
+// Returns true if `later`, of a later era, shows a later state of the server
+// than `earlier` although its revision is lower: another process, or the same
+// one that is leaving by now.
+bool is_later_state(const raw_row& earlier, const raw_row& later) {
+    if (earlier.deleted || later.deleted) {
+        return false;
+    }
+    const auto before =
+        to_number<std::uint64_t>(earlier.value_of(started_at_cell));
+    const auto after =
+        to_number<std::uint64_t>(later.value_of(started_at_cell));
+    return before == after ? is_leaving(later) : before < after;
+}
+
+std::uint64_t highest_revision(const store_version& version) {
+    return version.replaces == store_version::all_earlier
+               ? version.revision
+               : std::max(version.revision, version.replaces);
+}
+
+struct merged_row {
+    store_version version;
+    bool replaces_held = false;
+};
+
+// Decides which of two rows with the same key holds, regardless of the order in
+// which they arrive.
+merged_row merge(const raw_row& held, const raw_row& received) {
+    const bool received_later = received.version.era > held.version.era;
+    if (received.version.era == held.version.era) {
+        return {std::max(held.version, received.version),
+                received.version > held.version};
+    }
+    const auto& earlier = received_later ? held : received;
+    const auto& later = received_later ? received : held;
+    const auto earlier_revision = highest_revision(earlier.version);
+    if (later.version.replaces >= earlier_revision ||
+        later.version.revision >= earlier_revision ||
+        is_later_state(earlier, later)) {
+        return {later.version, received_later};
+    }
+    return {{later.version.era, later.version.revision, earlier_revision},
+            !received_later};
+}
+
 } // namespace
 
-raw_row make_row(const registered_server& server, std::uint64_t revision) {
+bool same_registration(const raw_row& a, const raw_row& b) {
+    if (a.deleted || b.deleted || a.cells.size() != b.cells.size()) {
+        return a.deleted == b.deleted && a.cells == b.cells;
+    }
+    return std::equal(a.cells.begin(), a.cells.end(), b.cells.begin(),
+                      [](const cell& x, const cell& y) {
+                          return x.name == y.name &&
+                                 (x.value == y.value || x.name == cold_cell);
+                      }) &&
+           is_cold(a) == is_cold(b);
+}
+
+raw_row make_row(const registered_server& server, store_version version) {
     raw_row row;
     row.key = std::string(server_row_prefix) + server.id;
-    row.version = revision;
+    row.version = version;
     row.cells = {
         {"service", server.service},
         {"address", server.address},
@@ -54,7 +121,7 @@
         {"slots", std::to_string(server.slots)},
         {"state", server.leaving ? "leaving" : "active"},
         {std::string(cold_cell), std::to_string(server.cold_left.count())},
-        {"started_at", server.started_at}};
+        {std::string(started_at_cell), server.started_at}};
     return row;
 }
 
@@ -73,7 +140,7 @@
     }
     server.leaving = row.value_of("state") != "active";
     server.cold_left = duration(read_number<duration::rep>(row, cold_cell));
-    server.started_at = row.value_of("started_at");
+    server.started_at = row.value_of(started_at_cell);
     return server;
 }
 
@@ -81,16 +148,25 @@
                                    time_point now) {
     change out;
     for (const auto& row : rows) {
+        const bool is_server = row.key.starts_with(server_row_prefix);
         auto& stored = rows_[row.key];
-        if (stored.row.version >= row.version) {
+        const auto merged = merge(stored.row, row);
+        const bool known = is_server && same_registration(stored.row, row);
+        if (!merged.replaces_held || known) {
+            const bool older = merged.version.era > stored.row.version.era;
+            if (older && !known) {
+                out.kept.push_back(row.key);
+            }
+            stored.row.version = merged.version;
             continue;
         }
         digest_ ^= digest_of(stored.row) ^ digest_of(row);
         const auto before = std::exchange(stored, stored_row{row, now});
+        stored.row.version = merged.version;
         try {
             if (row.key == routing_row_key) {
                 apply_routing(before.row, row, out);
-            } else if (row.key.starts_with(server_row_prefix)) {
+            } else if (is_server) {
                 apply_server(row, now, out);
             }
         } catch (const table_error& problem) {
@@ -102,7 +178,7 @@
 
 void directory::apply_routing(const raw_row& before, const raw_row& row,
                               change& out) {
-    if (before.version != 0) {
+    if (before.version != store_version()) {
         route_history_.on_changed(before, row);
     }
     if (row.deleted) {
@@ -118,10 +194,10 @@
 }
 
 std::optional<row_delta>
-directory::route_changes_since(std::uint64_t revision) const {
+directory::route_changes_since(std::uint64_t version) const {
     const auto* row = find_row(routing_row_key);
     return row == nullptr ? std::nullopt
-                          : route_history_.changes_since(revision, *row);
+                          : route_history_.changes_since(version, *row);
 }
 
 std::optional<row_delta>
@@ -147,10 +223,11 @@
     by_service_[server.service].insert(id);
 }
 
-std::vector<raw_row> directory::rows_after(std::uint64_t revision) const {
+std::vector<raw_row> directory::rows_after(const store_version& version) const {
     std::vector<raw_row> rows;
     for (const auto& [key, stored] : rows_) {
-        if (stored.row.version > revision) {
+        if (key == routing_row_key ||
+            stored.row.version.is_later_than(version)) {
             rows.push_back(stored.row);
         }
     }
@@ -162,9 +239,16 @@
     return found == rows_.end() ? nullptr : &found->second.row;
 }
 
-std::uint64_t directory::revision_of(std::string_view key) const {
-    const auto found = rows_.find(key);
-    return found == rows_.end() ? 0 : found->second.row.version;
+store_version directory::version_of(std::string_view key) const {
+    const auto* row = find_row(key);
+    return row == nullptr ? store_version() : row->version;
+}
+
+bool directory::has_kept_rows() const {
+    return std::any_of(rows_.begin(), rows_.end(), [](const auto& item) {
+        const auto replaces = item.second.row.version.replaces;
+        return replaces != 0 && replaces != store_version::all_earlier;
+    });
 }
 
 const known_server* directory::find(std::string_view id) const {
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -38,28 +38,6 @@
 
 constexpr std::size_t gossip_members = 6;
 
-bool same_content(const raw_row& a, const raw_row& b) {
-    return a.deleted == b.deleted && a.cells == b.cells;
-}
-
-bool is_cold(const raw_row& row) {
-    return row.value_of("cold_us") != "0";
-}
-
-// Returns true if at most the remaining warm-up time differs and it is zero in
-// both rows or in neither.
-bool same_registration(const raw_row& a, const raw_row& b) {
-    if (a.deleted || b.deleted || a.cells.size() != b.cells.size()) {
-        return same_content(a, b);
-    }
-    return std::equal(a.cells.begin(), a.cells.end(), b.cells.begin(),
-                      [](const cell& x, const cell& y) {
-                          return x.name == y.name &&
-                                 (x.value == y.value || x.name == "cold_us");
-                      }) &&
-           is_cold(a) == is_cold(b);
-}
-
 } // namespace
 
 directory_follower::directory_follower(follower_options options, time_point now)
@@ -104,7 +82,10 @@
 }
 
 std::optional<duration> directory_follower::routes_age(time_point now) const {
-    return freshness_.age(freshness_.routes_as_of(), now);
+    const auto confirmed_at = freshness_.routes_confirmed_at();
+    return confirmed_at
+               ? std::optional(std::max(duration{}, now - *confirmed_at))
+               : std::nullopt;
 }
 
 // Returns true if this instance's reads fail and no peer has told of a recent
@@ -121,7 +102,7 @@
 // the store answers others must not decide by routes that may be outdated.
 // During an outage of the store, the last known routes stay in force.
 void directory_follower::update_routes_validity(time_point now) {
-    const auto as_of = freshness_.to_local(freshness_.routes_as_of());
+    const auto as_of = freshness_.routes_confirmed_at();
     auto valid_until =
         as_of ? *as_of + options_.reading.max_routes_age : time_point();
     if (is_store_unavailable(now)) {
@@ -206,6 +187,7 @@
     apply_deferred_removals(now, out);
     request_from_seeds(now, out);
     reading_ = should_read(now);
+    end_copy_distrust(now);
     for (const auto table : {store_table::routing, store_table::servers}) {
         auto& state = state_of(table);
         if (reading_ && !state.read_in_flight && now >= state.next_read &&
@@ -261,7 +243,7 @@
 directory_follower::drop_unchanged(std::vector<raw_row> rows) const {
     std::erase_if(rows, [&](const raw_row& row) {
         if (row.key == routing_row_key) {
-            return directory_.revision_of(row.key) >= row.version;
+            return directory_.version_of(row.key) >= row.version;
         }
         const auto* stored = directory_.find_row(row.key);
         return stored != nullptr ? same_registration(*stored, row)
@@ -270,25 +252,6 @@
     return rows;
 }
 
-// Adds a tombstone for each stored server that a snapshot lacks: its removal
-// was missed because no instance was reading.
-void directory_follower::add_missing_tombstones(
-    const store_page& page, std::vector<raw_row>& rows) const {
-    if (!page.snapshot || page.table != store_table::servers) {
-        return;
-    }
-    std::set<std::string_view> present;
-    for (const auto& row : page.rows) {
-        present.insert(row.key);
-    }
-    for (const auto& key : directory_.server_keys()) {
-        if (!present.contains(key) &&
-            directory_.revision_of(key) <= page.revision) {
-            rows.push_back({key, page.revision, true, {}});
-        }
-    }
-}
-
 // Registrations expire during a store outage, and live servers register again
 // once it is over. Until they had time to do so, removals are deferred.
 void directory_follower::defer_removals(const table_state& state,
@@ -330,6 +293,9 @@
     for (auto& id : change.servers) {
         changes_.servers.push_back(std::move(id));
     }
+    for (auto& key : change.kept) {
+        changes_.kept.push_back(std::move(key));
+    }
     for (auto& text : change.rejected) {
         changes_.rejected.push_back(std::move(text));
     }
@@ -344,6 +310,16 @@
     actions out;
     auto& state = state_of(page.table);
     state.read_in_flight = false;
+    on_era(page.answered_at.era, now);
+    const bool continues_earlier_read = !page.snapshot && !state.position;
+    if (page.answered_at.era < era_ || continues_earlier_read) {
+        state.next_read = now; // the read began before the store was restored
+        if (page.table == store_table::routing &&
+            std::exchange(direct_read_in_flight_, false)) {
+            direct_read_due_ = now;
+        }
+        return out;
+    }
     if (is_in_outage(state, now)) {
         state.recovered_at = now;
     }
@@ -365,13 +341,22 @@
             deferred_removals_.erase(row.key); // the server registered again
         }
     }
-    auto rows = drop_unchanged(page.rows);
+    note_store_routes(page);
+    auto read_rows = to_rows_of_era(page);
+    auto rows = drop_unchanged(read_rows);
     add_missing_tombstones(page, rows);
     defer_removals(state, rows, now);
     const bool has_update = !rows.empty() || page.table == store_table::servers;
     changed_by_ = "store";
+    std::erase_if(read_rows, [](const raw_row& row) { return row.deleted; });
+    apply(read_rows, now); // unchanged ones get the version of this era
     apply(rows, now);
-    freshness_.on_read_completed(page.table, page.answered_at);
+    for (auto& row : rows) {
+        row = *directory_.find_row(row.key); // a newer one may have been kept
+    }
+    const bool confirms =
+        page.table == store_table::servers || !lacks_newest_routes(now);
+    freshness_.on_read_completed(page.table, page.answered_at, confirms);
     update_routes_validity(now);
     const bool direct_read = page.table == store_table::routing &&
                              std::exchange(direct_read_in_flight_, false);
@@ -434,8 +419,8 @@
     const bool direct_read = table == store_table::routing &&
                              std::exchange(direct_read_in_flight_, false);
     if (direct_read && pending_update_) {
-        const auto pending = *pending_update_;
-        request_rows(pending.from, pending.rows, now, out);
+        request_rows(pending_update_->from, !store_reads_allowed(now), now,
+                     out);
     }
     return out;
 }
@@ -446,7 +431,7 @@
     beat.sequence = ++heartbeat_sequence_;
     beat.members = members_.sample(gossip_members, engine_, now);
     if (const auto as_of = freshness_.routes_as_of()) {
-        beat.table_version = directory_.revision_of(routing_row_key);
+        beat.table_version = directory_.routes_version();
         beat.routes_as_of = *as_of;
     }
     for (auto& target : members_.heartbeat_targets(now)) {
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -84,7 +84,7 @@
     message.digest = directory_.digest();
     message.origin = options_.own.id;
     message.request_number = ++update_number_;
-    message.table_version = complete_revision_ = read_revision();
+    message.table_version = complete_version_ = read_version();
     set_as_of(message);
     relay(std::move(message), now, out);
 }
@@ -102,14 +102,15 @@
     message.deltas.push_back(std::move(*changes));
 }
 
-// Returns the revision up to which every change has been read.
-std::uint64_t directory_follower::read_revision() const {
-    std::uint64_t revision = complete_revision_;
+// Returns the version up to which every change has been read.
+store_version directory_follower::read_version() const {
+    auto version = complete_version_;
     if (tables_[0].position && tables_[1].position) {
-        revision = std::max(
-            revision, std::min(*tables_[0].position, *tables_[1].position));
+        const auto revision =
+            std::min(*tables_[0].position, *tables_[1].position);
+        version = std::max(version, store_version(era_, revision));
     }
-    return revision;
+    return version;
 }
 
 // Sends an update to a few peers, or to all of them in small installations.
@@ -159,13 +160,18 @@
         const bool known = members_.find(beat->sender.id, now).has_value();
         members_.on_heartbeat(beat->sender, beat->sequence, now);
         members_.on_gossip(beat->members, now);
+        on_era(beat->routes_as_of.era, now);
         note_peer_routes(beat->table_version, beat->routes_as_of, now);
+        if (beat->table_version > directory_.routes_version()) {
+            request_newer_routes(beat->sender.peer_address, now, out);
+        }
         update_routes_validity(now);
         if (!known && now - started_at_ < peer_discovery_period) {
             next_heartbeat_ = now; // helps starting peers find members
         }
     } else if (const auto* rows = std::get_if<table_rows>(&message)) {
         changed_by_ = from.empty() ? "peer" : from;
+        on_era(std::max(rows->as_of.era, rows->routes_as_of.era), now);
         on_table_rows(from, *rows, now, out);
         note_peer_routes(rows->routes_version, rows->routes_as_of, now);
         update_routes_validity(now);
@@ -188,7 +194,10 @@
                                                    : seed_request_interval);
     // The whole directory is sent within the failure domain if possible.
     const bool ask_all = now - started_at_ > own_domain_patience;
-    table_request request{0, 0, include_large_rows, 0,
+    table_request request{{},
+                          0,
+                          include_large_rows,
+                          0,
                           ask_all ? "" : options_.own.failure_domain};
     for (const auto& seed : seeds_) {
         if (seed != options_.own.peer_address) {
@@ -209,7 +218,7 @@
     if (directory_.routing() == nullptr || other_domain) {
         return false;
     }
-    if (request.have_version != 0) {
+    if (request.have_version != store_version()) {
         return true;
     }
     std::erase_if(whole_answers_, [&](const auto& item) {
@@ -231,7 +240,7 @@
         omit_large_rows(answer);
     }
     answer.digest = directory_.digest();
-    answer.table_version = complete_revision_;
+    answer.table_version = complete_version_;
     set_as_of(answer);
     out.emplace_back(send_to_peer{from, std::move(answer)});
 }
@@ -249,7 +258,8 @@
     const bool is_new = is_new_update(rows);
     apply_update(rows, now);
     const auto age = freshness_.age(rows.as_of, now);
-    if (age && *age > options_.reading.silence) {
+    const bool earlier_era = rows.as_of.era < era_;
+    if (earlier_era || (age && *age > options_.reading.silence)) {
         return; // the sender's data is outdated
     }
     if (rows.digest == directory_.digest()) {
@@ -270,7 +280,11 @@
     if (reads_store) {
         relay(rows, now, out); // peers read the omitted rows themselves, too
     } else if (now >= next_request_) {
-        request_rows(from, rows, now, out);
+        // The origin may hold rows that the sender lacks, too.
+        const auto origin = members_.find(*rows.origin, now);
+        const bool ask_origin = origin && request_number_ % 2 == 1;
+        request_rows(ask_origin ? origin->peer_address : from,
+                     !store_reads_allowed(now), now, out);
     }
 }
 
@@ -278,7 +292,7 @@
 // changed if it has an earlier version.
 void directory_follower::omit_known_routes(table_rows& answer,
                                            std::uint64_t peer_version) const {
-    const bool known = peer_version >= directory_.revision_of(routing_row_key);
+    const bool known = peer_version >= directory_.routes_version();
     auto changes = directory_.route_changes_since(peer_version);
     if (!known && !changes) {
         return;
@@ -295,18 +309,23 @@
 void directory_follower::set_as_of(table_rows& message) const {
     message.as_of = freshness_.own_reads_as_of().value_or(store_time());
     if (const auto as_of = freshness_.routes_as_of()) {
-        message.routes_version = directory_.revision_of(routing_row_key);
+        message.routes_version = directory_.routes_version();
         message.routes_as_of = *as_of;
     }
 }
 
-// Handles a peer's statement that routes of this revision were the newest at
+// Handles a peer's statement that routes of this version were the newest at
 // `as_of`.
-void directory_follower::note_peer_routes(std::uint64_t revision,
+void directory_follower::note_peer_routes(std::uint64_t version,
                                           store_time as_of, time_point now) {
-    if (revision != 0) {
-        freshness_.on_peer_routes(
-            directory_.revision_of(routing_row_key) >= revision, as_of, now);
+    if (version == 0) {
+        return;
+    }
+    const bool held = directory_.routes_version() >= version;
+    freshness_.on_peer_routes(held, as_of, now);
+    if (!held && version >= newest_peer_routes_) {
+        newest_peer_routes_ = version;
+        newest_routes_told_at_ = now;
     }
 }
 
@@ -318,7 +337,7 @@
     }
     for (const auto& delta : rows.deltas) {
         const auto* stored = directory_.find_row(delta.key);
-        if (stored != nullptr && delta.applies_to(stored->version)) {
+        if (stored != nullptr && delta.applies_to(stored->version.revision)) {
             const std::vector<raw_row> updated{apply_delta(*stored, delta)};
             apply(updated, now);
         }
@@ -359,7 +378,7 @@
 void directory_follower::mark_in_sync(const table_rows& rows, time_point now,
                                       actions& out) {
     peer_read_at_ = std::max(peer_read_at_, freshness_.to_local(rows.as_of));
-    complete_revision_ = std::max(complete_revision_, rows.table_version);
+    complete_version_ = std::max(complete_version_, rows.table_version);
     const bool may_relay =
         pending_update_ && pending_update_->rows.omitted_bytes == 0;
     if (may_relay && pending_update_->rows.digest == directory_.digest()) {
@@ -368,24 +387,20 @@
     pending_update_.reset();
 }
 
-// Requests rows lost in transit from the instance that sent the update, or
-// every other time from its origin, as the sender may lack the same rows.
-void directory_follower::request_rows(const std::string& from,
-                                      const table_rows& rows, time_point now,
+// Requests rows that a peer holds and this instance lacks.
+void directory_follower::request_rows(const std::string& peer,
+                                      bool include_large_rows, time_point now,
                                       actions& out) {
-    const bool include_large_rows = !store_reads_allowed(now);
     next_request_ = now + (include_large_rows ? full_request_interval
                                               : row_request_interval);
     ++request_number_;
-    const auto origin = members_.find(*rows.origin, now);
-    const bool ask_origin = origin && request_number_ % 2 == 0;
-    // A deferred removal has a lower revision than later changes, so every
+    // A deferred removal has a lower version than later changes, so every
     // third request is for all rows.
-    const auto have_version = request_number_ % 3 == 0 ? 0 : complete_revision_;
+    const auto have_version =
+        request_number_ % 3 == 0 ? store_version() : complete_version_;
     out.emplace_back(send_to_peer{
-        ask_origin ? origin->peer_address : from,
-        table_request{have_version, request_number_, include_large_rows,
-                      directory_.revision_of(routing_row_key)}});
+        peer, table_request{have_version, request_number_, include_large_rows,
+                            directory_.routes_version()}});
 }
 
 } // namespace lacewingbeam
--- a/src/decisions/knowledge/routing.cpp
+++ b/src/decisions/knowledge/routing.cpp
@@ -194,10 +194,10 @@
     return found == services.end() ? defaults : found->second;
 }
 
-raw_row make_row(const routing_table& table, std::uint64_t revision) {
+raw_row make_row(const routing_table& table, std::uint64_t number) {
     raw_row row;
     row.key = routing_row_key;
-    row.version = revision;
+    row.version = number;
     row.cells.push_back({std::string(version_cell), table.version});
     row.cells.push_back({std::string(limits_cell), write_limits(table.limits)});
     for (const auto& item : table.routes) {
--- a/src/decisions/knowledge/row_delta.cpp
+++ b/src/decisions/knowledge/row_delta.cpp
@@ -30,7 +30,8 @@
 }
 
 row_delta compute_delta(const raw_row& before, const raw_row& after) {
-    row_delta delta{after.key, before.version, after.version, {}, {}, {}};
+    row_delta delta{
+        after.key, before.version.revision, after.version.revision, {}, {}, {}};
     auto old = before.cells.begin();
     for (const auto& item : after.cells) {
         for (; old != before.cells.end() && old->name < item.name; ++old) {
--- a/src/decisions/knowledge/row_history.cpp
+++ b/src/decisions/knowledge/row_history.cpp
@@ -7,11 +7,11 @@
 namespace lacewingbeam {
 
 void row_history::on_changed(const raw_row& before, const raw_row& after) {
-    if (!edits_.empty() && edits_.back().to != before.version) {
+    if (!edits_.empty() && edits_.back().to != before.version.revision) {
         edits_.clear();
     }
     auto delta = compute_delta(before, after);
-    edit added{before.version, after.version, std::move(delta.removed)};
+    edit added{delta.base_version, delta.version, std::move(delta.removed)};
     for (auto& item : delta.cells) {
         added.cells.push_back(std::move(item.name));
     }
@@ -30,7 +30,7 @@
     row_delta out;
     out.key = current.key;
     out.base_version = edits_[first].from;
-    out.version = current.version;
+    out.version = current.version.revision;
     for (auto i = first + 1; i < edits_.size(); ++i) {
         out.later_bases.push_back(edits_[i].from);
     }
@@ -55,7 +55,7 @@
     const auto found =
         std::find_if(edits_.begin(), edits_.end(),
                      [&](const edit& item) { return item.from == version; });
-    if (found == edits_.end() || edits_.back().to != current.version) {
+    if (found == edits_.end() || edits_.back().to != current.version.revision) {
         return std::nullopt;
     }
     return merge(static_cast<std::size_t>(found - edits_.begin()), current);
@@ -65,7 +65,7 @@
 row_history::changes_within(std::size_t max_bytes,
                             const raw_row& current) const {
     std::optional<row_delta> best;
-    if (edits_.empty() || edits_.back().to != current.version) {
+    if (edits_.empty() || edits_.back().to != current.version.revision) {
         return best;
     }
     for (auto first = edits_.size(); first-- > 0;) {
--- a/src/decisions/table_view.cpp
+++ b/src/decisions/table_view.cpp
@@ -52,7 +52,7 @@
 
 // Terminates each name and value with a NUL byte, which no cell contains.
 table_view::packed_row table_view::pack(const raw_row& row) {
-    packed_row packed{row.version, row.deleted, {}};
+    packed_row packed{row.version.revision, row.deleted, {}};
     for (const auto& item : row.cells) {
         packed.cells += item.name;
         packed.cells += '\0';
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -1,6 +1,9 @@
 #include "directory_sync.hpp"
 
 #include "adapters/event_log.hpp"
+#include "lacewingbeam/number.hpp"
+
+#include <boost/algorithm/string/join.hpp>
 
 namespace lacewingbeam {
 
@@ -68,6 +71,7 @@
     for (const auto& item : actions) {
         std::visit([this](const auto& action) { execute(action); }, item);
     }
+    log_era_change();
     publish_changes();
     log_reader_change();
     schedule();
@@ -87,6 +91,31 @@
          {"age_ms", age_text(follower_.age(now))}});
 }
 
+void directory_sync::log_era_change() {
+    if (follower_.era() != era_) {
+        if (era_ != 0) {
+            log_event(event_number::store_restored,
+                      {{"era", std::to_string(follower_.era())},
+                       {"previous_era", std::to_string(era_)},
+                       {"routes_age_ms",
+                        age_text(follower_.routes_age(loop_.now()))}});
+        }
+        era_ = follower_.era();
+        logged_store_routes_ = 0;
+        metrics_.set_gauge("store_era", static_cast<double>(era_));
+    }
+    const auto store_routes = follower_.outdated_store_routes();
+    if (store_routes != std::exchange(logged_store_routes_, store_routes) &&
+        store_routes != 0) {
+        log_event(
+            event_number::older_rows_ignored,
+            {{"table", std::string(table_name(store_table::routing))},
+             {"era", std::to_string(era_)},
+             {"version", std::to_string(store_routes)},
+             {"held", std::to_string(follower_.view().routes_version())}});
+    }
+}
+
 void directory_sync::schedule() {
     event_loop::schedule(timer_, follower_.next_due() - loop_.now());
 }
@@ -96,6 +125,12 @@
     for (const auto& problem : change.rejected) {
         log_event(event_number::table_row_rejected, {{"reason", problem}});
     }
+    if (!change.kept.empty()) {
+        log_event(event_number::older_rows_ignored,
+                  {{"table", std::string(table_name(store_table::servers))},
+                   {"era", std::to_string(era_)},
+                   {"rows", boost::algorithm::join(change.kept, ",")}});
+    }
     if (change.routing || !change.servers.empty()) {
         changed.emit(change);
     }
@@ -121,11 +156,13 @@
     read.snapshot = snapshot;
     read.body.clear();
     read.status = 0;
+    read.era.reset();
     http_request request;
     request.target = target;
     exchange_events events;
-    events.head = [&read](const http_response_head& head) {
+    events.head = [this, &read](const http_response_head& head) {
         read.status = head.status;
+        read.era = read_era(head);
     };
     events.body = [&read](std::string_view chunk) {
         if (read.body.size() + chunk.size() <= max_response_bytes) {
@@ -144,8 +181,27 @@
                     {store_connections, duration::max()}, std::move(events));
 }
 
+// Returns the era that a response states, or nullopt if it states none.
+std::optional<std::uint64_t>
+directory_sync::read_era(const http_response_head& head) const {
+    const auto text = find_header(head.headers, platform_.headers.store_era);
+    const auto era = text ? to_number<std::uint64_t>(*text) : std::nullopt;
+    if (text && !era) {
+        log_event(event_number::table_row_rejected,
+                  {{"reason", "era \"" + std::string(*text) +
+                                  "\" of the store is not a number"}});
+    }
+    return era;
+}
+
 void directory_sync::on_read_end(store_table table) {
     auto& read = state_of(table);
+    follower_.on_era(read.era.value_or(0), loop_.now());
+    if (read.status == status_ok && !read.era && follower_.era() != 0) {
+        on_read_failed(table, "the response states no era of the store",
+                       store_failure::unreachable);
+        return;
+    }
     if (read.status == status_gone) {
         on_read_failed(table, "history is no longer available",
                        store_failure::history_compacted);
@@ -158,7 +214,8 @@
     }
     try {
         process_page(table,
-                     platform_.parse_response(table, read.snapshot, read.body));
+                     platform_.parse_response(table, read.snapshot,
+                                              read.era.value_or(0), read.body));
     } catch (const store_format_error& problem) {
         on_read_failed(table, problem.what(), store_failure::unreachable);
     }
@@ -170,6 +227,12 @@
     for (const auto& problem : response.row_errors) {
         log_event(event_number::table_row_rejected, {{"reason", problem}});
     }
+    if (read.earlier_pages && read.earlier_pages->page.answered_at.era !=
+                                  response.page.answered_at.era) {
+        // The store was restored between the pages of this snapshot.
+        execute(read_snapshot{table});
+        return;
+    }
     if (read.earlier_pages) {
         auto& rows = read.earlier_pages->page.rows;
         std::move(rows.begin(), rows.end(),
--- a/src/router/directory_sync.hpp
+++ b/src/router/directory_sync.hpp
@@ -46,6 +46,7 @@
         bool snapshot = false;
         std::string body;
         int status = 0;
+        std::optional<std::uint64_t> era; // of the store, in the response
         exchange_id exchange{};
         std::optional<store_response> earlier_pages; // of the same snapshot
         bool failing = false;
@@ -64,6 +65,8 @@
     void process_page(store_table table, store_response response);
     void publish_changes();
     void log_reader_change();
+    void log_era_change();
+    std::optional<std::uint64_t> read_era(const http_response_head& head) const;
     void schedule();
     read_state& state_of(store_table table);
 
@@ -77,6 +80,8 @@
     std::array<read_state, store_table_count> reads_;
     scoped_event timer_;
     bool is_reader_ = false;
+    std::uint64_t era_ = 0;                 // last logged
+    std::uint64_t logged_store_routes_ = 0; // older than the routes held
 };
 
 } // namespace lacewingbeam
--- a/src/router/platform_binding.hpp
+++ b/src/router/platform_binding.hpp
@@ -24,6 +24,7 @@
     std::string not_run;         // set if the server did not run the request
     std::string load;            // parsed by parse_load
     std::string request_limit;   // parsed by parse_request_limit
+    std::string store_era; // number of restores, in all responses of the store
 };
 
 // One page of rows from the store.
@@ -49,8 +50,10 @@
         snapshot_target;
     std::function<std::string(const read_changes&)> changes_target;
 
-    // Parses the response to either read. Throws store_format_error.
-    std::function<store_response(store_table, bool snapshot, std::string_view)>
+    // Parses the response to either read, made in this era of the store. Throws
+    // store_format_error.
+    std::function<store_response(store_table, bool snapshot, std::uint64_t era,
+                                 std::string_view)>
         parse_response;
 
     // Returns nullopt if the text is not a valid load.
--- a/src/tool/csv.cpp
+++ b/src/tool/csv.cpp
@@ -117,7 +117,7 @@
     }
     out << "\n";
     for (const auto& row : rows) {
-        out << quote(row.key) << "," << row.version;
+        out << quote(row.key) << "," << row.version.revision;
         for (std::size_t i = 2; i < columns.size(); ++i) {
             out << "," << quote(row.value_of(columns[i]));
         }
--- a/src/tool/instance_commands.cpp
+++ b/src/tool/instance_commands.cpp
@@ -115,7 +115,7 @@
         throw table_error("row not found: " + key);
     }
     if (found->value_of("state") == "leaving") {
-        return found->version;
+        return found->version.revision;
     }
     row_change change{*found, *found};
     set_cell(change.wanted, "state", "leaving");
--- a/src/tool/table_commands.cpp
+++ b/src/tool/table_commands.cpp
@@ -128,7 +128,7 @@
         if (!service.getValue().empty() && row_service != service.getValue()) {
             continue;
         }
-        std::cout << row.key << "  version=" << row.version;
+        std::cout << row.key << "  version=" << row.version.revision;
         for (const auto& item : row.cells) {
             if (item.name != "edit_id") {
                 std::cout << "  " << item.name << "=" << item.value;
--- a/src/tool/table_edit.cpp
+++ b/src/tool/table_edit.cpp
@@ -98,7 +98,7 @@
 
 std::uint64_t version_of(tool_session& session, const std::string& key) {
     const auto row = session.read_row(services_table, key);
-    return row ? row->version : 0;
+    return row ? row->version.revision : 0;
 }
 
 } // namespace
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -11,13 +11,14 @@
 
 // Kinds that are listed twice are drawn twice as often.
 const std::vector<std::string> fault_kinds{
-    "router_kill",   "router_pause",   "router_stop",  "router_stop",
-    "router_reload", "server_kill",    "server_pause", "server_leave",
-    "server_leave",  "server_refuse",  "answers_lost", "answers_extra",
-    "answers_other", "answers_marked", "link_delay",   "link_cut",
-    "link_silent",   "link_reset",     "link_refuse",  "store_refuse",
-    "store_forget",  "store_pause",    "store_delay",  "store_silent",
-    "store_cut",     "store_hole",     "edit",         "edit"};
+    "router_kill",   "router_pause",   "router_stop",   "router_stop",
+    "router_reload", "server_kill",    "server_pause",  "server_leave",
+    "server_leave",  "server_refuse",  "answers_lost",  "answers_extra",
+    "answers_other", "answers_marked", "link_delay",    "link_cut",
+    "link_silent",   "link_reset",     "link_refuse",   "store_refuse",
+    "store_forget",  "store_pause",    "store_delay",   "store_silent",
+    "store_cut",     "store_hole",     "store_restore", "edit",
+    "edit"};
 
 constexpr std::int64_t mean_gap_ms = 450;
 constexpr std::int64_t min_duration_ms = 200;
@@ -29,6 +30,11 @@
 
 constexpr std::int64_t store_phase_ms = 5000;
 
+// Time from a restore of the store until lost rows are written again, and until
+// all instances have read them.
+constexpr std::int64_t write_again_delay_ms = 800;
+constexpr std::int64_t restore_effect_ms = 3000;
+
 // The registration of a killed server is removed after three missed reports.
 constexpr std::int64_t registration_expiry_ms = 1500;
 constexpr std::int64_t address_reuse_delay_ms = 2000;
@@ -379,6 +385,8 @@
                                                    {{"refuse_status", 0}});
             store_unavailable_ = false;
         });
+    } else if (event.kind == "store_restore") {
+        begin_restore(event);
     } else if (event.kind == "store_forget") {
         testing_support::installation::control(store,
                                                {{"forget_history", true}});
@@ -395,6 +403,26 @@
     }
 }
 
+// The store loses what is written in the next duration_ms. Edits and servers
+// are written again a little later.
+void fault_director::begin_restore(const fault& event) {
+    if (std::exchange(restore_pending_, true)) {
+        return; // one restore at a time
+    }
+    environment_.copy_store();
+    schedule_step(event.duration_ms, [this] {
+        add_disturbance(disturbance::all_routers, restore_effect_ms,
+                        "store_restore");
+        environment_.restore_store();
+        schedule_step(write_again_delay_ms, [this] {
+            when_store_accepts_writes([this] {
+                environment_.write_again();
+                restore_pending_ = false;
+            });
+        });
+    });
+}
+
 void fault_director::record_output(
     const testing_support::server_process& server) {
     for (const auto& line : server.child->take_lines()) {
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -65,6 +65,7 @@
     void begin_server_fault(const fault& event);
     void begin_link_fault(const fault& event, const std::string& control);
     void begin_store_fault(const fault& event);
+    void begin_restore(const fault& event);
     void schedule_step(std::int64_t delay_ms, step_function step);
     void add_disturbance(std::size_t router, std::int64_t duration_ms,
                          const std::string& cause);
@@ -93,6 +94,7 @@
     std::set<std::string> departing_; // servers that are leaving or were killed
     std::map<std::string, std::int64_t> added_ms_;
     std::size_t moving_service_ = 0;
+    bool restore_pending_ = false;
     bool store_unavailable_ = false;
     std::int64_t started_ms_ = 0;
 };
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -38,7 +38,7 @@
             if (item.at + platform_.read_lag > now_) {
                 break;
             }
-            version = item.row.version;
+            version = item.row.version.revision;
             if (version > held) {
                 rows[item.row.key] = item.row;
             }
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -44,7 +44,7 @@
 
 bool is_usable(const std::string& text) {
     const auto response =
-        parse_response(store_table::servers, false, make_page("i-1", text));
+        parse_response(store_table::servers, false, 0, make_page("i-1", text));
     cr_assert_eq(response.page.rows.size(), 1);
     return !response.page.rows[0].deleted;
 }
@@ -75,7 +75,7 @@
 
 Test(config, invalid_config_is_reported_and_not_applied) {
     const auto response =
-        parse_response(store_table::routing, true, make_page("config", "{"));
+        parse_response(store_table::routing, true, 0, make_page("config", "{"));
     cr_assert(response.page.rows.empty());
     cr_assert_eq(response.row_errors.size(), 1);
 }
@@ -130,9 +130,9 @@
         for (int i = 0; i < 3; ++i) {
             text[position(engine)] = static_cast<char>(byte(engine));
         }
-        parse_response(store_table::servers, false, make_page("i-1", text));
+        parse_response(store_table::servers, false, 0, make_page("i-1", text));
         try {
-            parse_response(store_table::servers, true, text);
+            parse_response(store_table::servers, true, 0, text);
         } catch (const store_format_error&) {
             continue;
         }
@@ -160,7 +160,7 @@
     auto page = nlohmann::json::parse(make_page("i-1", registration));
     page["hasMore"] = true;
     const auto response =
-        parse_response(store_table::servers, true, page.dump());
+        parse_response(store_table::servers, true, 0, page.dump());
     cr_assert(response.continue_from == std::string("i-1") + '\0');
     const auto target = make_binding().snapshot_target(
         read_snapshot{store_table::servers}, *response.continue_from);
--- a/test/unit/row_history_test.cpp
+++ b/test/unit/row_history_test.cpp
@@ -30,8 +30,8 @@
     row_history_fixture fixture;
     for (const auto version : {0, 1}) {
         const auto& held = fixture.versions[static_cast<std::size_t>(version)];
-        const auto delta =
-            fixture.history.changes_since(held.version, fixture.current());
+        const auto delta = fixture.history.changes_since(held.version.revision,
+                                                         fixture.current());
         cr_assert(apply_delta(held, delta.value()) == fixture.current());
     }
 }
--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -161,8 +161,45 @@
         ++store_.era;
     }
 
-    // The operators write their last edit again.
-    void write_routes_again() { write_routes(edits_, store_.routes); }
+    // As above, from a copy taken before the server registered.
+    void restore_without_server() {
+        restore_store();
+        store_.server_registered = false;
+    }
+
+    // The operators and the server write their last changes again.
+    void write_again() {
+        write_routes(edits_, store_.routes);
+        store_.server_leaving = server_leaving_;
+        store_.server_changed_at = ++store_.revision;
+    }
+
+    // Neither sends nor receives messages or responses.
+    void cut_off(std::size_t node) { cut_off_ = node; }
+    void reconnect() { cut_off_ = nodes_.size(); }
+
+    bool serves_newest_routes(std::size_t node) const {
+        const auto& view = nodes_[node]->view();
+        return view.routes_valid_at(now) &&
+               view.routing()->version == std::to_string(edits_);
+    }
+
+    bool knows_server(std::size_t node) const {
+        return !nodes_[node]->view().available("svc").empty();
+    }
+
+    // Counts the instances that decide by other routes than the newest.
+    std::size_t count_deciding_by_other_routes() const {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            const auto& view = nodes_[i]->view();
+            count += alive[i] && view.routes_valid_at(now) &&
+                             !serves_newest_routes(i)
+                         ? 1
+                         : 0;
+        }
+        return count;
+    }
 
     std::size_t store_reads() const { return store_reads_; }
 
@@ -176,7 +213,7 @@
     void refuse_from(std::size_t first) { refused_from_ = first; }
 
     void drain_server() {
-        store_.server_leaving = true;
+        server_leaving_ = store_.server_leaving = true;
         store_.server_changed_at = ++store_.revision;
     }
 
@@ -189,6 +226,7 @@
         unsigned edit = 1; // version of the routes
         std::uint64_t server_changed_at = 5;
         bool server_leaving = false;
+        bool server_registered = true;
     };
 
     void write_routes(unsigned edit, std::size_t count) {
@@ -288,13 +326,13 @@
                         snapshot,
                         store_.revision,
                         {},
-                        store_time(now.time_since_epoch())};
+                        store_time(now.time_since_epoch(), store_.era)};
         if (table == store_table::routing) {
             if (snapshot || after < store_.routes_changed_at) {
-                page.rows.push_back(
-                    make_row(make_routes(), store_.routes_changed_at));
+                page.rows.push_back(make_row(make_routes(), store_.edit));
             }
-        } else if (snapshot || after < store_.server_changed_at) {
+        } else if (store_.server_registered &&
+                   (snapshot || after < store_.server_changed_at)) {
             registered_server server;
             server.id = "s";
             server.service = "svc";
@@ -322,7 +360,8 @@
                             action.peer_address.find(':') + 1)) -
                         1000;
         if (boost::random::bernoulli_distribution<double>(loss_rate_)(
-                engine_)) {
+                engine_) ||
+            node == cut_off_ || to == cut_off_) {
             return;
         }
         if (const auto* rows = std::get_if<table_rows>(&action.message)) {
@@ -373,11 +412,13 @@
             return item.at <= now;
         });
         for (const auto& item : due_answers) {
-            if (alive[item.to] && item.to >= refused_from_) {
+            const bool cut_off = item.to == cut_off_;
+            if (alive[item.to] && (cut_off || item.to >= refused_from_)) {
                 execute(item.to,
                         nodes_[item.to]->on_failed(
                             item.table, store_failure::unreachable, now));
             } else if (alive[item.to] && item.after > store_.revision) {
+                nodes_[item.to]->on_era(store_.era, now);
                 execute(item.to,
                         nodes_[item.to]->on_failed(
                             item.table, store_failure::history_compacted, now));
@@ -401,6 +442,8 @@
     store_rows store_;
     store_rows copy_;
     unsigned edits_ = 1; // the operators' last
+    bool server_leaving_ = false;
+    std::size_t cut_off_ = 1000;
     std::size_t store_reads_ = 0;
     std::size_t whole_rows_sent_ = 0;
     std::size_t whole_rows_to_other_domains_ = 0;
--- a/test/unit/spread_test.cpp
+++ b/test/unit/spread_test.cpp
@@ -175,22 +175,3 @@
     cr_assert_eq(cluster.count_with_server(), 13);
     cr_assert_leq(cluster.count_readers(), 2);
 }
-
-// Regression test: after the store had been restored from a copy, which assigns
-// revisions again, edits with a revision lower than that of the routes held
-// were discarded as older.
-Test(known_red, edit_after_a_restore_of_the_store_reaches_all) {
-    simulated_cluster cluster(13, 0.01);
-    cluster.run_until(start + seconds(10));
-    cluster.copy_store();
-    for (int i = 0; i < 4; ++i) {
-        cluster.edit_routes(30);
-        cluster.run_until(cluster.now + seconds(1));
-    }
-    cluster.restore_store();
-    cluster.run_until(cluster.now + seconds(2));
-    cr_assert_eq(cluster.count_with_newest_routes(), 13);
-    cluster.edit_routes(30);
-    cluster.run_until(cluster.now + seconds(2));
-    cr_assert_eq(cluster.count_with_newest_routes(), 13);
-}
--- a/test/users_platform/installation.cpp
+++ b/test/users_platform/installation.cpp
@@ -85,6 +85,7 @@
 
 void installation::write_row(const std::string& table, const std::string& key,
                              const json& value) {
+    written_[{table, key}] = value;
     json row{{"tableName", table}, {"part", ""}, {"key", key}};
     json body;
     if (value.is_null()) {
@@ -158,6 +159,21 @@
     return version_;
 }
 
+void installation::copy_store() {
+    control(store_address_, {{"copy", true}});
+}
+
+void installation::restore_store() {
+    control(store_address_, {{"restore", true}});
+}
+
+void installation::write_again() {
+    const auto rows = written_;
+    for (const auto& [place, value] : rows) {
+        write_row(place.first, place.second, value);
+    }
+}
+
 router_instance& installation::add_router(const std::string& store) {
     auto created = std::make_unique<router_instance>();
     created->name = "router" + std::to_string(routers_.size());
--- a/test/users_platform/installation.hpp
+++ b/test/users_platform/installation.hpp
@@ -75,6 +75,14 @@
     // Writes a new version of the config to the store and returns its number.
     unsigned publish_routes(const std::vector<route_spec>& routes);
 
+    // Let the store save a copy, and return to it. It loses what was written
+    // since.
+    void copy_store();
+    void restore_store();
+
+    // The operators and the servers write their last rows again.
+    void write_again();
+
     // Adds a router without starting it. It reaches the store at the address
     // `store`, or directly if that is empty.
     router_instance& add_router(const std::string& store = {});
@@ -102,6 +110,8 @@
     void write_row(const std::string& table, const std::string& key,
                    const json& value);
 
+    std::map<std::pair<std::string, std::string>, json> written_;
+
     temporary_directory files_;
     std::unique_ptr<process> store_process_;
     std::string store_address_;
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -177,6 +177,33 @@
     cr_assert_eq(send_request(get_request("/once/x", "dropped")).status, 404);
 }
 
+// Regression test: after a restore of the store from a copy, changes in force
+// stay so, and later ones take effect.
+Test(router_process, changes_before_and_after_a_restore_are_in_force) {
+    cluster->add_server("two", "t1");
+    cluster->add_server("two", "t2");
+    cluster->add_server("three", "u1");
+    cluster->copy_store();
+    cluster->publish_routes({{"/safe/", "two"}});
+    cluster->register_server(cluster->server("t1"), true);
+    std::this_thread::sleep_for(2s);
+    cluster->restore_store();
+    std::this_thread::sleep_for(3s);
+    for (const auto* id : {"a", "b", "c", "d"}) {
+        assert_complete(send_request(get_request("/safe/x", id)), id, 300);
+    }
+    cr_assert_eq(count_lines("t2", "run "), 4);
+    cluster->write_again();
+    cluster->publish_routes({{"/safe/", "three"}});
+    std::this_thread::sleep_for(2s);
+    assert_complete(send_request(get_request("/safe/x", "e")), "e", 300);
+    cr_assert_eq(count_lines("u1", "run e"), 1);
+    const auto log = cluster->log_of(router());
+    cr_assert_neq(log.find("LB1109 store_restored era=2"), log.npos);
+    cr_assert_neq(log.find("LB1110 older_rows_ignored table=routing"),
+                  log.npos);
+}
+
 Test(router_process, disconnected_caller_ends_the_request) {
     auto request = get_request("/safe/x?work=5000", "a");
     request.timeout = 300ms;
--- a/test/users_platform/store.cpp
+++ b/test/users_platform/store.cpp
@@ -5,8 +5,8 @@
 #include <limits>
 #include <tclap/CmdLine.h>
 
-// Stand-in for the users' metadata store: rows with revisions, range reads, and
-// long polls for changes.
+// Stand-in for the users' metadata store: rows with revisions, range reads,
+// long polls for changes, and restores from a copy.
 namespace {
 
 using standin::json;
@@ -45,10 +45,17 @@
     void control(const request_ptr& request);
     json changes_since(const std::string& name, std::uint64_t after) const;
     void complete_pending_reads();
+    void drop_pending_reads();
     void reply(const request_ptr& request, json body) const;
 
-    std::map<std::string, table> tables_;
-    std::uint64_t revision_ = 0;
+    struct contents {
+        std::map<std::string, table> tables;
+        std::uint64_t revision = 0;
+    };
+
+    contents data_;
+    contents copy_;
+    std::uint64_t era_ = 1; // rises with each restore from the copy
     std::uint64_t compacted_revision_ = 0; // older changes are not available
     int refuse_status_ = 0;
     std::uint64_t reads_ = 0;
@@ -71,6 +78,7 @@
 
 void store::handle(const request_ptr& request) {
     const auto path = request->path();
+    request->add_header("Store-Era", std::to_string(era_));
     if (path == "/control") {
         control(request);
         return;
@@ -91,7 +99,7 @@
 }
 
 void store::reply(const request_ptr& request, json body) const {
-    body["revision"] = revision_;
+    body["revision"] = data_.revision;
     body["nowMs"] = std::chrono::duration_cast<milliseconds>(
                         steady::now().time_since_epoch())
                         .count();
@@ -101,20 +109,21 @@
 void store::transact(const request_ptr& request) {
     const auto body = request->body_json();
     for (const auto& row : body.value("expect", json::array())) {
-        const auto& found = tables_[row.at("tableName")][row.at("key")];
+        const auto& found = data_.tables[row.at("tableName")][row.at("key")];
         const auto current = found.deleted ? 0 : found.revision;
         if (current != row.at("revision").get<std::uint64_t>()) {
             request->reply_json(condition_failed, {{"rows", json::array()}});
             return;
         }
     }
-    ++revision_;
+    ++data_.revision;
     for (const auto& row : body.value("put", json::array())) {
-        tables_[row.at("tableName")][row.at("key")] = {row.at("value"),
-                                                       revision_, false};
+        data_.tables[row.at("tableName")][row.at("key")] = {
+            row.at("value"), data_.revision, false};
     }
     for (const auto& row : body.value("remove", json::array())) {
-        tables_[row.at("tableName")][row.at("key")] = {"", revision_, true};
+        data_.tables[row.at("tableName")][row.at("key")] = {"", data_.revision,
+                                                            true};
     }
     reply(request, json::object());
     complete_pending_reads();
@@ -125,7 +134,7 @@
     const auto from = request->query("from");
     json rows = json::array();
     bool more = false;
-    const auto& table_rows = tables_[name];
+    const auto& table_rows = data_.tables[name];
     for (auto row = table_rows.lower_bound(from); row != table_rows.end();
          ++row) {
         if (row->second.deleted) {
@@ -142,8 +151,8 @@
 
 json store::changes_since(const std::string& name, std::uint64_t after) const {
     std::map<std::uint64_t, json> rows_by_revision;
-    const auto found = tables_.find(name);
-    if (found != tables_.end()) {
+    const auto found = data_.tables.find(name);
+    if (found != data_.tables.end()) {
         for (const auto& [key, row] : found->second) {
             if (row.revision > after) {
                 rows_by_revision[row.revision] = row_json(name, key, row);
@@ -161,7 +170,7 @@
     const auto name = request->query("tableName");
     const auto after = std::stoull(request->query("after"));
     const auto wait = std::stoll(request->query("waitMs"));
-    if (after < compacted_revision_) {
+    if (after < compacted_revision_ || after > data_.revision) {
         request->reply(gone, "");
         return;
     }
@@ -190,19 +199,31 @@
     });
 }
 
+void store::drop_pending_reads() {
+    for (const auto& pending : pending_reads_) {
+        pending->request->close_connection();
+    }
+    pending_reads_.clear();
+}
+
 void store::control(const request_ptr& request) {
     const auto body = request->body_json();
     if (body.is_object()) {
         refuse_status_ = body.value("refuse_status", refuse_status_);
         if (body.value("forget_history", false)) {
-            compacted_revision_ = revision_;
-            for (const auto& pending : pending_reads_) {
-                pending->request->close_connection();
-            }
-            pending_reads_.clear();
+            compacted_revision_ = data_.revision;
+            drop_pending_reads();
+        }
+        if (body.value("copy", false)) {
+            copy_ = data_;
+        }
+        if (body.value("restore", false)) {
+            data_ = copy_;
+            ++era_;
+            drop_pending_reads();
         }
     }
-    request->reply_json(ok, {{"reads", reads_}, {"revision", revision_}});
+    request->reply_json(ok, {{"reads", reads_}, {"revision", data_.revision}});
 }
 
 } // namespace
