Refuse requests that crash the servers that run them

Cause: a lost connection was booked on the server alone. The instance sent the request on to the next server, hedged it, and the client's next attempt, with another id at another instance, met an instance that knew nothing.

Change: the gateway hashes method, host, target and body. An attempt whose server closes the connection before it responds is a loss of that fingerprint. Two losses end the instance's own resends, one its hedges; three refuse the request at once, as not run, for 60 s and twice as long after each further loss. Instances tell two keepers, chosen by rendezvous, of each loss, and all others from the second on; keepers tell instances that start. What acquits: the request is completed anywhere; the server responds within 1 s after the loss to something sent later. Losses within 400 ms count once, so servers that fail together accuse nobody. Entries exist only for lost attempts, 1,024 at most.

Log: LB1602 gives fingerprint and losses, LB1606 and LB1607 the begin and end of a refusal; gauge quarantined_requests.

--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -4,6 +4,7 @@
 #include "core.hpp"
 #include "freshness.hpp"
 #include "membership.hpp"
+#include "request_quarantine.hpp"
 #include "row_delta.hpp"
 #include "table.hpp"
 
@@ -76,7 +77,8 @@
     std::optional<incarnation> origin;
 };
 
-using peer_message = std::variant<heartbeat, table_request, table_rows>;
+using peer_message =
+    std::variant<heartbeat, table_request, table_rows, suspect_report>;
 
 } // namespace lacewingbeam
 
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -8,6 +8,7 @@
 #include "expected_time.hpp"
 #include "load_predictor.hpp"
 #include "repeat_budget.hpp"
+#include "request_quarantine.hpp"
 #include "routing.hpp"
 #include "server_limits.hpp"
 #include "verdict.hpp"
@@ -40,6 +41,7 @@
     std::string host;
     std::string path;
     std::optional<duration> caller_time_left;
+    request_fingerprint fingerprint = 0;
 };
 
 // Asks a backend server for its load.
@@ -89,8 +91,23 @@
     std::optional<duration> retry_after;
 };
 
-using router_action = std::variant<probe_action, send_action, cancel_action,
-                                   deliver_action, finish_action>;
+// Tells a peer what is known against a request.
+struct report_action {
+    std::string peer;
+    suspect_report report;
+};
+
+// A request is refused from now on because it crashed servers, or is not any
+// more.
+struct quarantine_action {
+    request_fingerprint request = 0;
+    std::size_t losses = 0; // servers that it is believed to have crashed
+    std::optional<duration> refused_for;
+};
+
+using router_action =
+    std::variant<probe_action, send_action, cancel_action, deliver_action,
+                 finish_action, report_action, quarantine_action>;
 
 // Outcomes of an attempt.
 struct attempt_answered {
@@ -102,6 +119,7 @@
 };
 struct attempt_unknown {
     may_have_run_reason reason{};
+    bool closed_by_server = false; // before any part of a response
 };
 using attempt_outcome =
     std::variant<attempt_answered, attempt_not_run, attempt_unknown>;
@@ -153,9 +171,18 @@
 
     // Sets the instances that share the limits that servers name.
     void set_peers(std::string own, std::vector<std::string> peers) {
+        quarantine_.set_instances(own, peers);
         limits_.set_instances(std::move(own), std::move(peers));
     }
 
+    actions on_suspect_report(const suspect_report& report, time_point now);
+    actions on_peer_started(const std::string& peer, time_point now);
+
+    // Ends the quarantine of a request on all instances.
+    actions release(request_fingerprint request, time_point now);
+
+    const request_quarantine& quarantine() const { return quarantine_; }
+
     // A server named a limit in a response, or named none in one to a request.
     // Returns true if that is news.
     bool on_limit(std::string_view server, std::optional<double> per_second,
@@ -219,10 +246,12 @@
         std::string server;
         time_point sent_at;
         server_load_sample load; // at placement
+        server_fingerprint server_run = 0;
     };
 
     struct request_entry {
         call_id id{};
+        request_fingerprint fingerprint = 0;
         std::string route;
         std::string service;
         std::string health_path;
@@ -312,6 +341,13 @@
     bool try_take_repeat(request_entry& request, time_point now);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
+    bool refuse_if_quarantined(request_entry& request, time_point now,
+                               actions& out);
+    server_fingerprint current_run_of(const std::string& server) const;
+    void tell_peers(request_quarantine::reports reports, time_point now,
+                    actions& out);
+    void note_server_alive(const std::string& server, time_point sent_at,
+                           time_point now, actions& out);
     void finish(request_entry& request, const verdict& outcome,
                 std::optional<duration> retry_after, actions& out);
     void remove_request(call_id id, std::optional<attempt_id> keep,
@@ -336,6 +372,8 @@
     random_engine engine_;
     std::size_t instances_ = 1;
     server_limits limits_;
+    request_quarantine quarantine_;
+    std::set<request_fingerprint> quarantined_; // as last told by an action
     std::map<std::string, server_entry> servers_;
     std::map<std::string, service_entry> services_;
     std::map<call_id, request_entry> requests_;
@@ -345,6 +383,7 @@
     struct sent_probe {
         call_id call{};
         std::string server;
+        time_point sent_at;
     };
     std::map<probe_id, sent_probe> probes_;
     std::uint64_t next_attempt_ = 1;
--- a/include/lacewingbeam/verdict.hpp
+++ b/include/lacewingbeam/verdict.hpp
@@ -25,6 +25,7 @@
     ticket_invalid,
     ticket_expired,
     ticket_content_differs,
+    quarantined, // it crashed the servers that ran it
 };
 
 // Reasons why a request may have run without a known answer.
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -108,9 +108,20 @@
   15: i64 as_of_era,
 }
 
+// What is known against a request that may have crashed backend servers: for
+// each lost attempt the run of the server, the time since, and whether it is
+// refuted. The lists are of equal length.
+struct suspect_report {
+  1: i64 request,
+  2: list<i64> servers,
+  3: list<i32> ages_ms,
+  4: list<bool> refuted,
+}
+
 struct peer_message {
   1: i16 version = protocol_version,
   2: optional heartbeat beat,
   3: optional table_request request,
   4: optional table_rows rows,
+  5: optional suspect_report suspect,
 }
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 35> catalogue{{
+constexpr std::array<event_description, 37> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -98,6 +98,11 @@
      "A caller disconnected before the response; its request was cancelled."},
     {event_number::lines_left_out, log_level::warning, "lines_left_out",
      "Request log lines were omitted to limit the log rate."},
+    {event_number::request_quarantined, log_level::warning,
+     "request_quarantined",
+     "A request crashed several servers and is refused by this instance."},
+    {event_number::request_released, log_level::info, "request_released",
+     "A quarantined request is accepted again."},
 }};
 
 log_level min_level = log_level::info;
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -53,6 +53,8 @@
     request_finished = 1603,
     caller_gone = 1604,
     lines_left_out = 1605,
+    request_quarantined = 1606,
+    request_released = 1607,
 };
 
 // Number, severity, name and documentation of an event.
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -245,8 +245,32 @@
         rows.as_of_era = static_cast<std::int64_t>(value.as_of.era);
         out.__set_rows(rows);
     }
+
+    void operator()(const suspect_report& value) const {
+        wire::suspect_report report;
+        report.request = static_cast<std::int64_t>(value.request);
+        for (const auto& item : value.losses) {
+            report.servers.push_back(static_cast<std::int64_t>(item.server));
+            report.ages_ms.push_back(clamp_ms(item.age));
+            report.refuted.push_back(item.refuted);
+        }
+        out.__set_suspect(report);
+    }
 };
 
+suspect_report read_report(const wire::suspect_report& value) {
+    if (value.ages_ms.size() != value.servers.size() ||
+        value.refuted.size() != value.servers.size()) {
+        throw wire_error("lists of lost attempts differ in length");
+    }
+    suspect_report report{static_cast<std::uint64_t>(value.request), {}};
+    for (std::size_t i = 0; i < value.servers.size(); ++i) {
+        report.losses.push_back({static_cast<std::uint64_t>(value.servers[i]),
+                                 from_ms(value.ages_ms[i]), value.refuted[i]});
+    }
+    return report;
+}
+
 heartbeat read_heartbeat(const wire::heartbeat& value) {
     heartbeat beat;
     beat.sender = from_wire(value.sender);
@@ -362,6 +386,9 @@
     if (message.__isset.rows) {
         return read_rows(message.rows);
     }
+    if (message.__isset.suspect) {
+        return read_report(message.suspect);
+    }
     throw wire_error("message has no content");
 }
 
--- a/src/decisions/coordinator_upkeep.cpp
+++ b/src/decisions/coordinator_upkeep.cpp
@@ -198,8 +198,8 @@
             return out;
         }
         out.emplace_back(send_message{from, make_table_rows(*request, now)});
-    } else {
-        on_table_rows(from, std::get<table_rows>(message), now, out);
+    } else if (const auto* rows = std::get_if<table_rows>(&message)) {
+        on_table_rows(from, *rows, now, out);
     }
     return out;
 }
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -175,8 +175,8 @@
         on_table_rows(from, *rows, now, out);
         note_peer_routes(rows->routes_version, rows->routes_as_of, now);
         update_routes_validity(now);
-    } else {
-        answer_request(from, std::get<table_request>(message), now, out);
+    } else if (const auto* request = std::get_if<table_request>(&message)) {
+        answer_request(from, *request, now, out);
     }
     return out;
 }
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -435,6 +435,9 @@
     if (may_run_elsewhere && request.retry == retry_policy::at_most_once) {
         return;
     }
+    if (refuse_if_quarantined(request, now, out)) {
+        return;
+    }
     const auto& server = *directory_.find(chosen.id);
     auto& entry = entry_of(chosen.id);
     const auto id = attempt_id{next_attempt_++};
@@ -458,7 +461,8 @@
     request.recheck_at.reset();
     request.decide_at.reset();
     request.pending_probes.clear();
-    attempts_[id] = {request.id, chosen.id, now, action.load};
+    attempts_[id] = {request.id, chosen.id, now, action.load,
+                     current_run_of(chosen.id)};
     request.running_attempts.push_back(id);
     request.tried.push_back(chosen.id);
     ++request.attempts;
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -100,7 +100,7 @@
             continue;
         }
         const auto id = probe_id{next_probe_++};
-        probes_[id] = {request.id, server->info.id};
+        probes_[id] = {request.id, server->info.id, now};
         request.pending_probes.push_back(id);
         out.emplace_back(probe_action{
             id, server->info.id, server->info.address, request.health_path,
@@ -125,6 +125,7 @@
         return out;
     }
     const auto server = found->second.server;
+    note_server_alive(server, found->second.sent_at, now, out);
     record_load(server, load, now);
     entry_of(server).next_probe_at = time_point{};
     probe_settled(id, now, out);
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -116,12 +116,19 @@
         refuse_arrival(not_run_reason::unknown_service);
         return out;
     }
+    if (const auto refused =
+            quarantine_.refused_for(request.fingerprint, now)) {
+        out.emplace_back(finish_action{
+            request.id, not_run{not_run_reason::quarantined}, *refused});
+        return out;
+    }
     if (requests_.size() >= options_.max_requests) {
         refuse_arrival(not_run_reason::queue_full);
         return out;
     }
     request_entry entry;
     entry.id = request.id;
+    entry.fingerprint = request.fingerprint;
     entry.route = chosen->name;
     entry.service = pick_service(*chosen, engine_);
     const auto& options = table->options_of(entry.service);
@@ -164,6 +171,11 @@
     std::erase(request.running_attempts, id);
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         record_outcome(attempt.server, !answered->server_error, 1, now);
+        note_server_alive(attempt.server, attempt.sent_at, now, out);
+        if (!answered->server_error) {
+            tell_peers(quarantine_.on_completed(request.fingerprint, now), now,
+                       out);
+        }
         const bool retry = answered->server_error &&
                            request.retry == retry_policy::retryable &&
                            (!request.running_attempts.empty() ||
@@ -190,7 +202,13 @@
         constexpr double shed_weight = 0.4;
         record_outcome(attempt.server, false, shed_weight, now);
     } else {
-        request.lost_reason = std::get<attempt_unknown>(result).reason;
+        const auto& unknown = std::get<attempt_unknown>(result);
+        request.lost_reason = unknown.reason;
+        if (unknown.closed_by_server) {
+            tell_peers(quarantine_.on_lost(request.fingerprint,
+                                           attempt.server_run, now),
+                       now, out);
+        }
         record_outcome(attempt.server, false, 1, now);
     }
     if (request.running_attempts.empty() && !request.decide_at) {
@@ -232,6 +250,11 @@
     if (request.lost_reason && request.retry == retry_policy::at_most_once) {
         return false;
     }
+    // The request may be what crashed these servers.
+    if (quarantine_.losses(request.fingerprint) >=
+        request_quarantine::losses_to_suspect) {
+        return false;
+    }
     return entry_of_service(request.service).repeats->try_take(instances_, now);
 }
 
@@ -344,7 +367,8 @@
 void request_router::try_hedge(request_entry& request, time_point now,
                                actions& out) {
     request.hedged = true;
-    if (try_take_repeat(request, now)) {
+    if (quarantine_.losses(request.fingerprint) == 0 &&
+        try_take_repeat(request, now)) {
         start_placement(request, now, out);
     }
 }
--- a/src/decisions/verdict.cpp
+++ b/src/decisions/verdict.cpp
@@ -54,6 +54,8 @@
         return "ticket_invalid";
     case not_run_reason::ticket_expired:
         return "ticket_expired";
+    case not_run_reason::quarantined:
+        return "quarantined";
     case not_run_reason::ticket_content_differs:
         return "ticket_content_differs";
     }
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -25,7 +25,8 @@
 
 attempt_outcome to_attempt_outcome(const exchange_failure& failure) {
     if (const auto lost = to_may_have_run_reason(failure)) {
-        return attempt_unknown{*lost};
+        return attempt_unknown{*lost, failure.problem ==
+                                          exchange_problem::connection_lost};
     }
     return attempt_not_run{not_run_reason::connect_failed};
 }
@@ -261,13 +262,17 @@
     metrics_.count_attempt(attempt.service, name);
     const auto request = requests_.find(attempt.call);
     if (!success && request != requests_.end()) {
-        log_.write(event_number::attempt_failed,
-                   {{"id", request->second.id},
-                    {"server", attempt.server},
-                    {"result", std::string(name)},
-                    {"detail", std::string(detail)},
-                    {"ms", ms_text(now - attempt.sent_at)}},
-                   now);
+        log_.write(
+            event_number::attempt_failed,
+            {{"id", request->second.id},
+             {"server", attempt.server},
+             {"result", std::string(name)},
+             {"detail", std::string(detail)},
+             {"fingerprint", fingerprint_text(request->second.fingerprint)},
+             {"losses", std::to_string(router_.quarantine().losses(
+                            request->second.fingerprint))},
+             {"ms", ms_text(now - attempt.sent_at)}},
+            now);
     }
     const auto server = attempt.server;
     const auto load = attempt.load;
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -67,6 +67,16 @@
                : status_bad_gateway;
 }
 
+// Callers give each attempt another id, so the id is not part of it.
+request_fingerprint fingerprint_of(const http_request& request,
+                                   std::string_view host) {
+    std::string text(method_name(request.method));
+    text += ' ';
+    text += host;
+    text += ' ' + request.target + ' ' + std::to_string(hash(request.body));
+    return hash(text);
+}
+
 std::string seconds_text(duration value) {
     constexpr double ms_per_second = 1000;
     return std::to_string(to_ms(value) / ms_per_second);
@@ -171,6 +181,8 @@
     request.path = target.substr(0, target.find('?'));
     request.caller_time_left =
         parse_time_left(find_header(headers, platform_.headers.time_left_ms));
+    request.fingerprint = fingerprint_of(pending.outgoing, request.host);
+    pending.fingerprint = request.fingerprint;
     execute_all(router_.submit(request, now));
 }
 
@@ -237,6 +249,32 @@
     remove(found);
 }
 
+void request_gateway::execute(const report_action& action) {
+    report.emit(action.peer, action.report);
+}
+
+void request_gateway::execute(const quarantine_action& action) {
+    const auto number = action.refused_for ? event_number::request_quarantined
+                                           : event_number::request_released;
+    log_event(number,
+              {{"fingerprint", fingerprint_text(action.request)},
+               {"losses", std::to_string(action.losses)},
+               {"for_ms", action.refused_for ? ms_text(*action.refused_for)
+                                             : std::string("-")}});
+}
+
+void request_gateway::on_suspect_report(const suspect_report& received) {
+    execute_all(router_.on_suspect_report(received, loop_.now()));
+}
+
+void request_gateway::on_peer_started(const std::string& peer) {
+    execute_all(router_.on_peer_started(peer, loop_.now()));
+}
+
+void request_gateway::release(request_fingerprint request) {
+    execute_all(router_.release(request, loop_.now()));
+}
+
 void request_gateway::reply(pending_request& request, int status,
                             header_list headers, std::string_view body) {
     if (stopping_) {
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -32,6 +32,14 @@
     // Decides requests that waited for the directory.
     void on_directory_confirmed();
 
+    // Messages of peers about requests that crash servers, and to peers.
+    void on_suspect_report(const suspect_report& received);
+    void on_peer_started(const std::string& peer);
+    sigc::signal<void(const std::string& peer, const suspect_report&)> report;
+
+    // Ends the quarantine of a request on all instances.
+    void release(request_fingerprint request);
+
     std::size_t request_count() const { return requests_.size(); }
     time_point last_finished_at() const { return last_finished_at_; }
 
@@ -40,6 +48,7 @@
         std::shared_ptr<incoming_request> incoming;
         http_request outgoing; // without the headers set per attempt
         std::string id;        // request ID set by the caller
+        request_fingerprint fingerprint = 0;
         std::string service;
         time_point arrived;
     };
@@ -71,6 +80,8 @@
     void execute(const cancel_action& action);
     void execute(const deliver_action& action);
     void execute(const finish_action& action);
+    void execute(const report_action& action);
+    void execute(const quarantine_action& action);
     void schedule();
 
     http_request make_outgoing(const incoming_request& incoming) const;
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -1,5 +1,9 @@
 #include "request_log.hpp"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 namespace lacewingbeam {
 
 namespace {
@@ -11,6 +15,13 @@
 
 } // namespace
 
+std::string fingerprint_text(std::uint64_t fingerprint) {
+    constexpr std::size_t digits = 16;
+    std::array<char, digits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, fingerprint);
+    return text.data();
+}
+
 request_log::request_log(time_point now)
     : line_budget_(max_lines_per_second, max_line_burst, now) {}
 
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -7,6 +7,9 @@
 // Logs events of single requests at a limited rate.
 namespace lacewingbeam {
 
+// Formats a request's fingerprint as 16 hexadecimal digits.
+std::string fingerprint_text(std::uint64_t fingerprint);
+
 class request_log {
 public:
     explicit request_log(time_point now);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -88,6 +88,16 @@
     sync_->changed.connect([this](const directory::change& change) {
         on_directory_changed(change);
     });
+    peer_link_.received.connect(
+        [this](const std::string&, const peer_message& message) {
+            if (const auto* report = std::get_if<suspect_report>(&message)) {
+                gateway_->on_suspect_report(*report);
+            }
+        });
+    gateway_->report.connect(
+        [this](const std::string& peer, const suspect_report& report) {
+            peer_link_.send(peer, report);
+        });
     caller_listener_.request.connect(
         [this](const std::shared_ptr<incoming_request>& incoming) {
             gateway_->on_request(incoming);
@@ -171,12 +181,20 @@
         return;
     }
     std::vector<std::string> peers;
+    std::set<incarnation> started;
     for (const auto& peer : follower_->members().members(now)) {
         if (peer.state != member_state::leaving) {
             peers.push_back(peer.peer_address);
+            started.insert(peer.id);
         }
     }
     router_->set_peers(settings_.router.peers, std::move(peers));
+    for (const auto& peer : follower_->members().members(now)) {
+        if (started.contains(peer.id) && !known_peers_.contains(peer.id)) {
+            gateway_->on_peer_started(peer.peer_address);
+        }
+    }
+    known_peers_ = std::move(started);
 }
 
 void router_process::on_directory_changed(const directory::change& change) {
@@ -218,6 +236,9 @@
         metrics_.set_gauge("routes_age_ms", to_ms(*age));
     }
     metrics_.set_gauge("max_loop_delay_ms", to_ms(max_loop_delay_));
+    metrics_.set_gauge(
+        "quarantined_requests",
+        static_cast<double>(router_->quarantine().refused(now).size()));
     metrics_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
     incoming.reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.text());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -12,6 +12,7 @@
 #include "settings_types.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 // An entry instance that routes requests by host and path.
@@ -56,6 +57,7 @@
     scoped_event reload_signal_;
     scoped_event settings_check_timer_;
     time_point last_loop_check_at_;
+    std::set<incarnation> known_peers_;
     duration max_loop_delay_{};
     std::optional<time_point> stopping_since_;
     time_point last_unsent_at_; // last time that a response had unsent bytes
--- /dev/null
+++ b/test/unit/quarantine_test.cpp
@@ -0,0 +1,293 @@
+#include "lacewingbeam/request_quarantine.hpp"
+#include "router_fixture.hpp"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <vector>
+
+// Tests of requests that crash the servers that run them, and of innocent ones
+// that ran beside them.
+using namespace lacewingbeam;
+using namespace lacewingbeam::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr request_fingerprint deadly = 0xdead;
+constexpr request_fingerprint innocent = 0x900d;
+
+// Instances that tell each other what is known, unless they are cut off.
+class informed_instances {
+public:
+    explicit informed_instances(std::size_t count) : instances_(count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            connect(i);
+        }
+    }
+
+    void lose(std::size_t instance, request_fingerprint request,
+              server_fingerprint server) {
+        deliver(at(instance).on_lost(request, server, now));
+    }
+    void complete(std::size_t instance, request_fingerprint request) {
+        deliver(at(instance).on_completed(request, now));
+    }
+    void restart(std::size_t instance) {
+        instances_[instance] = {};
+        connect(instance);
+        for (auto& peer : instances_) {
+            if (&peer != &instances_[instance]) {
+                deliver(peer.on_peer_started(address_of(instance), now));
+            }
+        }
+    }
+
+    std::size_t refusing(request_fingerprint request) const {
+        return static_cast<std::size_t>(std::count_if(
+            instances_.begin(), instances_.end(), [&](const auto& item) {
+                return item.refused_for(request, now).has_value();
+            }));
+    }
+
+    request_quarantine& at(std::size_t instance) {
+        return instances_[instance];
+    }
+
+    void deliver(const request_quarantine::reports& reports) {
+        for (const auto& item : reports) {
+            ++messages;
+            const auto to = std::stoul(item.peer);
+            if (to != cut_off) {
+                deliver(at(to).on_report(item.report, now));
+            }
+        }
+    }
+
+    time_point now = start;
+    std::size_t messages = 0;
+    std::size_t cut_off = 1000;
+
+private:
+    static std::string address_of(std::size_t instance) {
+        return std::to_string(instance);
+    }
+    void connect(std::size_t instance) {
+        std::vector<std::string> peers;
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            if (i != instance) {
+                peers.push_back(address_of(i));
+            }
+        }
+        instances_[instance].set_instances(address_of(instance), peers);
+    }
+
+    std::vector<request_quarantine> instances_;
+};
+
+// A router whose attempts end when their server's connection is closed.
+struct crashing_fixture : router_fixture {
+    explicit crashing_fixture(unsigned servers = 8)
+        : router_fixture({.servers = servers,
+                          .retry = retry_policy::retryable,
+                          .max_attempts = 3,
+                          .router = {.repeats = {.slack = 20}}}) {}
+
+    request_router::actions submit_as(std::uint64_t id,
+                                      request_fingerprint fingerprint) {
+        return with_probes_answered(router.submit(
+            {call_id{id}, "host", "/a/b", milliseconds(2000), fingerprint},
+            now));
+    }
+
+    // Returns the number of servers that the request reached.
+    unsigned submit_and_crash(std::uint64_t id,
+                              request_fingerprint fingerprint) {
+        unsigned reached = 0;
+        auto actions = submit_as(id, fingerprint);
+        while (true) {
+            const auto sent = pick<send_action>(actions);
+            if (sent.empty()) {
+                return reached;
+            }
+            ++reached;
+            now += milliseconds(70);
+            actions = with_probes_answered(router.on_attempt_ended(
+                sent[0].attempt,
+                attempt_unknown{may_have_run_reason::connection_lost, true},
+                now));
+        }
+    }
+
+private:
+    request_router::actions
+    with_probes_answered(const request_router::actions& actions) {
+        auto out = answer_probes(actions, {0, 0, 3, 1});
+        std::copy_if(actions.begin(), actions.end(), std::back_inserter(out),
+                     [](const auto& action) {
+                         return !std::holds_alternative<probe_action>(action);
+                     });
+        return out;
+    }
+};
+
+} // namespace
+
+// Regression test: a request that crashes each server that runs it was sent to
+// server after server for as long as its caller sent it.
+Test(quarantine, request_that_crashes_its_servers_is_refused_at_once) {
+    crashing_fixture fixture;
+    unsigned reached = 0;
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        reached += fixture.submit_and_crash(id, deadly);
+        fixture.now += milliseconds(500);
+    }
+    cr_assert_leq(reached, 6, "%u", reached);
+    const auto ended =
+        router_fixture::pick<finish_action>(fixture.submit_as(20, deadly));
+    cr_assert_eq(ended.size(), 1);
+    cr_assert(ended[0].outcome ==
+              verdict(not_run{not_run_reason::quarantined}));
+    cr_assert_gt(ended[0].retry_after->count(), duration(seconds(10)).count());
+    const auto other =
+        router_fixture::pick<send_action>(fixture.submit_as(21, innocent));
+    cr_assert_eq(other.size(), 1);
+}
+
+Test(quarantine, suspect_is_not_sent_again_by_the_instance) {
+    crashing_fixture fixture;
+    cr_assert_eq(fixture.submit_and_crash(1, deadly), 2);
+    cr_assert_eq(fixture.submit_and_crash(2, deadly), 1);
+}
+
+Test(quarantine, lost_attempts_seen_by_three_instances_count_together) {
+    for (const std::size_t count : {13U, 117U}) {
+        informed_instances fleet(count);
+        for (std::size_t i = 0; i < 3; ++i) {
+            fleet.lose(i, deadly, i + 1);
+            fleet.now += milliseconds(500);
+        }
+        cr_assert_geq(fleet.refusing(deadly), count - count / 50);
+        cr_assert_leq(fleet.messages, 30 * count, "%zu", fleet.messages);
+    }
+}
+
+// One lost answer is ordinary and costs messages to the keepers only.
+Test(quarantine, single_loss_is_told_to_few_instances) {
+    informed_instances fleet(117);
+    fleet.lose(5, innocent, 1);
+    cr_assert_leq(fleet.messages, 2);
+    cr_assert_eq(fleet.refusing(innocent), 0);
+}
+
+Test(quarantine, servers_that_fail_together_accuse_nobody) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 10; ++i) {
+        fleet.lose(i, innocent, i + 1); // read by many callers
+        fleet.now += milliseconds(20);
+    }
+    cr_assert_eq(fleet.refusing(innocent), 0);
+}
+
+// A popular request runs beside a deadly one time and again.
+Test(quarantine, popular_request_beside_crashes_is_acquitted_by_its_successes) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 20; ++i) {
+        fleet.lose(i % 13, innocent, i + 1);
+        fleet.lose(i % 13, deadly, i + 1);
+        fleet.now += milliseconds(300);
+        fleet.complete(i % 13, innocent);
+        fleet.now += milliseconds(300);
+        cr_assert_eq(fleet.refusing(innocent), 0);
+    }
+    cr_assert_eq(fleet.refusing(deadly), 13);
+}
+
+Test(quarantine, success_anywhere_ends_the_quarantine_everywhere) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.lose(i, innocent, i + 1);
+        fleet.now += milliseconds(500);
+    }
+    cr_assert_eq(fleet.refusing(innocent), 13);
+    fleet.complete(7, innocent); // was in progress
+    cr_assert_eq(fleet.refusing(innocent), 0);
+}
+
+// A server that resets connections or loses answers has not crashed.
+Test(quarantine, loss_at_a_server_that_responds_afterwards_is_refuted) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 6; ++i) {
+        fleet.lose(i, innocent, i + 1);
+        fleet.now += milliseconds(200);
+        fleet.deliver(fleet.at(i).on_server_alive(
+            i + 1, fleet.now - milliseconds(50), fleet.now));
+        fleet.now += milliseconds(400);
+    }
+    cr_assert_eq(fleet.refusing(innocent), 0);
+}
+
+Test(quarantine, restarted_server_does_not_refute_its_crash) {
+    request_quarantine known;
+    known.on_lost(deadly, 1, start);
+    known.on_server_alive(1, start + seconds(4), start + seconds(4));
+    cr_assert_eq(known.losses(deadly), 1);
+}
+
+Test(quarantine, started_instance_is_told_whom_to_refuse) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.lose(i, deadly, i + 1);
+        fleet.now += milliseconds(500);
+    }
+    for (std::size_t i = 0; i < 13; ++i) {
+        fleet.restart(i);
+        cr_assert_eq(fleet.refusing(deadly), 13);
+    }
+}
+
+Test(quarantine, instance_cut_off_learns_with_the_next_loss) {
+    informed_instances fleet(13);
+    fleet.cut_off = 12;
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.lose(i, deadly, i + 1);
+        fleet.now += milliseconds(500);
+    }
+    cr_assert_eq(fleet.refusing(deadly), 12);
+    fleet.cut_off = 1000;
+    fleet.lose(12, deadly, 4);
+    cr_assert_geq(fleet.refusing(deadly), 12);
+    fleet.lose(1, deadly, 5);
+    cr_assert_eq(fleet.refusing(deadly), 13);
+}
+
+// Refusing forever would outlast the repair of the servers.
+Test(quarantine, request_is_tried_again_after_a_while_and_longer_each_time) {
+    request_quarantine known;
+    auto now = start;
+    for (server_fingerprint server = 1; server <= 3; ++server) {
+        known.on_lost(deadly, server, now);
+        now += seconds(1);
+    }
+    const auto first = known.refused_for(deadly, now);
+    cr_assert(first.has_value());
+    now += *first;
+    cr_assert_not(known.refused_for(deadly, now).has_value());
+    known.on_lost(deadly, 4, now);
+    cr_assert_gt(known.refused_for(deadly, now)->count(), first->count());
+}
+
+Test(quarantine, memory_is_bounded_and_keeps_what_is_refused) {
+    request_quarantine known;
+    auto now = start;
+    for (server_fingerprint server = 1; server <= 3; ++server) {
+        known.on_lost(deadly, server, now);
+        now += seconds(1);
+    }
+    for (request_fingerprint request = 1; request < 20000; ++request) {
+        known.on_lost(request, 7, now);
+        now += milliseconds(1);
+    }
+    cr_assert_leq(known.size(), 1024);
+    cr_assert(known.refused_for(deadly, now).has_value());
+}
