Show and end the quarantine of requests on the metrics port

GET /quarantine lists the refused fingerprints, DELETE /quarantine/FINGERPRINT accepts one again on all instances. The stand-in server ends when it runs a path that ends with /deadly; a test with two routers and eight servers sends such a request ten times to either: at least two servers survive, both routers refuse it with Retry-After and serve others, and a release reaches both.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -4,6 +4,7 @@
 #include "adapters/settings_file.hpp"
 #include "lacewingbeam/endpoint.hpp"
 #include "options_from_settings.hpp"
+#include "quarantine_api.hpp"
 
 #include <boost/algorithm/string.hpp>
 #include <csignal>
@@ -225,6 +226,10 @@
 
 void router_process::handle_metrics(incoming_request& incoming) {
     const auto now = loop_.now();
+    if (incoming.target().starts_with(quarantine_path)) {
+        handle_quarantine_call(incoming, router_->quarantine(), *gateway_, now);
+        return;
+    }
     metrics_.set_gauge("requests", static_cast<double>(router_->requests()));
     metrics_.set_gauge(
         "instances",
--- a/test/integration/http_call.cpp
+++ b/test/integration/http_call.cpp
@@ -50,6 +50,9 @@
     if (name == "PUT") {
         return EVHTTP_REQ_PUT;
     }
+    if (name == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
     return name == "HEAD" ? EVHTTP_REQ_HEAD : EVHTTP_REQ_GET;
 }
 
--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -23,6 +23,9 @@
 constexpr int unavailable = 503;
 constexpr std::size_t default_bytes = 300;
 
+// A request whose path ends with this ends the server that runs it.
+constexpr std::string_view deadly_path = "/deadly";
+
 struct behaviour {
     std::string id;
     unsigned slots = 3;
@@ -196,6 +199,9 @@
 }
 
 void backend_server::finish_job(const job_ptr& item) {
+    if (item->request->path().ends_with(deadly_path)) {
+        std::_Exit(1);
+    }
     --running_;
     if (!item->disconnected) {
         send_response(item);
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -177,6 +177,56 @@
     cr_assert_eq(send_request(get_request("/once/x", "dropped")).status, 404);
 }
 
+// Regression test: a request that crashes its servers was sent to one after the
+// other, by each instance to which its caller came.
+Test(router_process, request_that_crashes_servers_is_refused_by_all_routers) {
+    for (int i = 2; i <= 8; ++i) {
+        cluster->add_server("one", "s" + std::to_string(i));
+    }
+    auto& second = cluster->add_router();
+    cluster->start(second);
+    cr_assert(eventually([&] { return cluster->is_ready(second); }));
+    std::this_thread::sleep_for(3s); // until the routers know each other
+    for (int i = 0; i < 10; ++i) {
+        auto request = get_request("/safe/deadly", "d" + std::to_string(i));
+        request.address = cluster->routers().at(i % 2U)->callers;
+        send_request(request);
+        std::this_thread::sleep_for(450ms);
+    }
+    const auto& servers = cluster->servers();
+    const auto alive =
+        std::count_if(servers.begin(), servers.end(), [](const auto& item) {
+            return item.second->child->is_running();
+        });
+    cr_assert_geq(alive, 2, "%td", alive);
+    for (const auto& instance : cluster->routers()) {
+        auto request = get_request("/safe/deadly", "again" + instance->name);
+        request.address = instance->callers;
+        const auto refused = send_request(request);
+        cr_assert_eq(refused.status, 503);
+        cr_assert_neq(refused.header("retry-after"), "");
+        request = get_request("/safe/x", "other" + instance->name);
+        request.address = instance->callers;
+        cr_assert_eq(send_request(request).status, 200);
+    }
+    const auto listed =
+        send_request({router().metrics, "GET", "/quarantine", {}, {}})
+            .body_json()
+            .at("requests");
+    cr_assert_eq(listed.size(), 1);
+    const auto name = listed[0].at("fingerprint").get<std::string>();
+    cr_assert_eq(
+        send_request(
+            {router().metrics, "DELETE", "/quarantine/" + name, {}, {}})
+            .status,
+        200);
+    cr_assert(eventually([&] {
+        return cluster->log_of(second).find("LB1607 request_released "
+                                            "fingerprint=" +
+                                            name) != std::string::npos;
+    }));
+}
+
 // Regression test: after a restore of the store from a copy, changes in force
 // stay so, and later ones take effect.
 Test(router_process, changes_before_and_after_a_restore_are_in_force) {
