--- a/include/lacewingbeam/core.hpp
+++ b/include/lacewingbeam/core.hpp
@@ -30,6 +30,9 @@
 // Converts to fractional milliseconds, the unit of settings, headers and logs.
 double to_ms(duration value);
 
+// Converts fractional seconds, rounding towards zero.
+duration from_seconds(double value);
+
 // Random number generator for all randomized decisions. A given seed yields
 // the same sequence on every platform.
 using random_engine = boost::random::mt19937_64;
--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -41,23 +41,6 @@
 
 } // namespace
 
-std::optional<may_have_run_reason>
-to_may_have_run_reason(const exchange_failure& failure) {
-    if (!failure.bytes_sent) {
-        return std::nullopt;
-    }
-    switch (failure.problem) {
-    case exchange_problem::malformed:
-        return may_have_run_reason::answer_malformed;
-    case exchange_problem::truncated:
-        return may_have_run_reason::answer_truncated;
-    case exchange_problem::stalled:
-        return may_have_run_reason::answer_timeout;
-    default:
-        return may_have_run_reason::connection_lost;
-    }
-}
-
 struct connection_pool::connection {
     connection_pool* pool = nullptr;
     std::string address;
--- a/src/decisions/core.cpp
+++ b/src/decisions/core.cpp
@@ -16,6 +16,11 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+duration from_seconds(double value) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(value));
+}
+
 incarnation draw_incarnation(random_engine& engine) {
     incarnation id;
     constexpr std::size_t word_size = sizeof(std::uint64_t);
--- a/src/decisions/placing/server_limits.cpp
+++ b/src/decisions/placing/server_limits.cpp
@@ -25,11 +25,6 @@
 constexpr double min_trial_interval_s = 10;
 constexpr double max_trial_interval_s = 300;
 
-duration from_seconds(double value) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 void server_limits::set_instances(std::string own,
--- a/src/router/options_from_settings.cpp
+++ b/src/router/options_from_settings.cpp
@@ -32,11 +32,6 @@
 
 } // namespace
 
-duration from_seconds(double value) {
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(value));
-}
-
 std::vector<std::string> split_list(const std::string& text) {
     std::vector<std::string> items;
     if (!text.empty()) {
--- a/src/router/options_from_settings.hpp
+++ b/src/router/options_from_settings.hpp
@@ -12,8 +12,6 @@
 // Converts settings to the options of the router's components.
 namespace lacewingbeam {
 
-duration from_seconds(double value);
-
 // Splits a comma-separated list and trims the items.
 std::vector<std::string> split_list(const std::string& text);
 
