Look for signs of life only while a loss is recent

Cause: each response went through all suspects, up to 1,024 for half an hour after lost answers, although only losses of the last second can be refuted by it.

Change: responses are looked at within a second after the latest loss, and completions only of known suspects.

--- a/include/lacewingbeam/request_quarantine.hpp
+++ b/include/lacewingbeam/request_quarantine.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -57,14 +56,16 @@
     // Sets the addresses of this instance and of its peers.
     void set_instances(std::string own, std::vector<std::string> peers);
 
-    // The functions below return what to tell peers. Up to all_peers_limit
-    // peers are told directly, and more of them by relaying.
+    // The functions below return what to tell peers.
     reports on_lost(request_fingerprint request, server_fingerprint server,
                     time_point now);
     reports on_completed(request_fingerprint request, time_point now);
     reports on_report(const std::string& from, const suspect_report& report,
                       time_point now);
 
+    // Returns true if responses of servers may still refute a loss.
+    bool awaits_signs_of_life(time_point now) const;
+
     // A server has responded to what was sent to it at `sent_at`.
     reports on_server_alive(server_fingerprint server, time_point sent_at,
                             time_point now);
@@ -104,8 +105,8 @@
     static server_fingerprint least_telling(const loss_map& losses);
     static time_point refused_until(const suspect& entry);
     static level level_of(const suspect& entry, time_point now);
-    static bool add_loss(suspect& entry, server_fingerprint server,
-                         time_point at, bool refuted);
+    bool add_loss(suspect& entry, server_fingerprint server, time_point at,
+                  bool refuted);
     suspect& suspect_of(request_fingerprint request, time_point now);
     bool is_explained(request_fingerprint request, server_fingerprint server,
                       time_point now) const;
@@ -121,6 +122,7 @@
     std::string own_;
     std::vector<std::string> peers_;
     std::map<request_fingerprint, suspect> suspects_;
+    time_point last_loss_at_;
 };
 
 } // namespace lacewingbeam
--- a/src/decisions/placing/request_quarantine.cpp
+++ b/src/decisions/placing/request_quarantine.cpp
@@ -80,9 +80,14 @@
                                                            : level::known;
 }
 
+bool request_quarantine::awaits_signs_of_life(time_point now) const {
+    return now - last_loss_at_ <= alive_window;
+}
+
 // Returns true if the loss, or that it is refuted, is news.
 bool request_quarantine::add_loss(suspect& entry, server_fingerprint server,
                                   time_point at, bool refuted) {
+    last_loss_at_ = std::max(last_loss_at_, at);
     const auto [found, added] =
         entry.losses.try_emplace(server, loss{at, refuted});
     if (!added) {
@@ -197,6 +202,9 @@
 request_quarantine::on_server_alive(server_fingerprint server,
                                     time_point sent_at, time_point now) {
     reports out;
+    if (!awaits_signs_of_life(now)) {
+        return out;
+    }
     for (auto& [request, entry] : suspects_) {
         const auto found = entry.losses.find(server);
         if (found == entry.losses.end() || found->second.refuted ||
--- a/src/decisions/placing/request_refusing.cpp
+++ b/src/decisions/placing/request_refusing.cpp
@@ -51,7 +51,7 @@
 void request_router::note_server_alive(const std::string& server,
                                        time_point sent_at, time_point now,
                                        actions& out) {
-    if (quarantine_.size() > 0) {
+    if (quarantine_.awaits_signs_of_life(now)) {
         tell_peers(
             quarantine_.on_server_alive(current_run_of(server), sent_at, now),
             now, out);
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -172,7 +172,8 @@
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         record_outcome(attempt.server, !answered->server_error, 1, now);
         note_server_alive(attempt.server, attempt.sent_at, now, out);
-        if (!answered->server_error) {
+        if (!answered->server_error &&
+            quarantine_.losses(request.fingerprint) > 0) {
             tell_peers(quarantine_.on_completed(request.fingerprint, now), now,
                        out);
         }
