Read a store whose era went back at the usual pace

Cause, found in the last reading: a response of an earlier era was discarded and the read repeated at once. A store whose era goes back, which none should do, was read in an endless loop: 51,973 reads in 5 s by 13 instances in the new test (allowed: 260).

--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -311,9 +311,11 @@
     auto& state = state_of(page.table);
     state.read_in_flight = false;
     on_era(page.answered_at.era, now);
+    const bool is_outdated = page.answered_at.era < era_;
     const bool continues_earlier_read = !page.snapshot && !state.position;
-    if (page.answered_at.era < era_ || continues_earlier_read) {
-        state.next_read = now; // the read began before the store was restored
+    if (is_outdated || continues_earlier_read) {
+        // The read began before the store was restored.
+        state.next_read = is_outdated ? now + options_.reading.read_pause : now;
         if (page.table == store_table::routing &&
             std::exchange(direct_read_in_flight_, false)) {
             direct_read_due_ = now;
--- a/src/router/directory_sync.cpp
+++ b/src/router/directory_sync.cpp
@@ -202,6 +202,11 @@
                        store_failure::unreachable);
         return;
     }
+    if (read.status == status_ok && read.era.value_or(0) < follower_.era()) {
+        on_read_failed(table, "the response is of an earlier era of the store",
+                       store_failure::unreachable);
+        return;
+    }
     if (read.status == status_gone) {
         on_read_failed(table, "history is no longer available",
                        store_failure::history_compacted);
--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -161,6 +161,9 @@
         ++store_.era;
     }
 
+    // The store's era goes back, which a working store never does.
+    void break_era() { store_.era = 0; }
+
     // As above, from a copy taken before the server registered.
     void restore_without_server() {
         restore_store();
--- a/test/unit/store_restore_test.cpp
+++ b/test/unit/store_restore_test.cpp
@@ -159,6 +159,18 @@
     cr_assert_eq(cluster.count_deciding_by_other_routes(), 0);
 }
 
+// Regression test: responses of an earlier era were discarded and the read was
+// repeated at once, in an endless loop.
+Test(store_restore, store_whose_era_went_back_is_read_at_the_usual_pace) {
+    restored_cluster cluster(13);
+    cluster.break_era();
+    const auto before = cluster.store_reads();
+    cluster.run_until(cluster.now + seconds(5));
+    const auto reads = cluster.store_reads() - before;
+    cr_assert_leq(reads, std::size_t{13 * 5 * 4}, "%zu", reads);
+    cr_assert_eq(cluster.count_with_newest_routes(), 13);
+}
+
 // A response made before the store went away arrives after its return.
 Test(store_restore, late_response_of_the_earlier_era_is_discarded) {
     restored_cluster cluster(13);
