Name what the tests of both matters repeat

Three losses at three instances, and changes followed by a restore, are functions of their fixtures now.

--- a/test/unit/quarantine_test.cpp
+++ b/test/unit/quarantine_test.cpp
@@ -30,6 +30,13 @@
               server_fingerprint server) {
         deliver(instance, at(instance).on_lost(request, server, now));
     }
+    // Three instances see one loss each.
+    void lose_at_three_servers(request_fingerprint request) {
+        for (std::size_t i = 0; i < 3; ++i) {
+            lose(i, request, i + 1);
+            now += milliseconds(500);
+        }
+    }
     void complete(std::size_t instance, request_fingerprint request) {
         deliver(instance, at(instance).on_completed(request, now));
     }
@@ -164,10 +171,7 @@
 Test(quarantine, lost_attempts_seen_by_three_instances_count_together) {
     for (const std::size_t count : {13U, 117U}) {
         informed_instances fleet(count);
-        for (std::size_t i = 0; i < 3; ++i) {
-            fleet.lose(i, deadly, i + 1);
-            fleet.now += milliseconds(500);
-        }
+        fleet.lose_at_three_servers(deadly);
         cr_assert_geq(fleet.refusing(deadly), count - count / 50);
         cr_assert_leq(fleet.messages, 30 * count, "%zu", fleet.messages);
     }
@@ -239,10 +243,7 @@
 
 Test(quarantine, success_anywhere_ends_the_quarantine_everywhere) {
     informed_instances fleet(13);
-    for (std::size_t i = 0; i < 3; ++i) {
-        fleet.lose(i, innocent, i + 1);
-        fleet.now += milliseconds(500);
-    }
+    fleet.lose_at_three_servers(innocent);
     cr_assert_eq(fleet.refusing(innocent), 13);
     fleet.complete(7, innocent); // was in progress
     cr_assert_eq(fleet.refusing(innocent), 0);
@@ -270,10 +271,7 @@
 
 Test(quarantine, started_instance_is_told_whom_to_refuse) {
     informed_instances fleet(13);
-    for (std::size_t i = 0; i < 3; ++i) {
-        fleet.lose(i, deadly, i + 1);
-        fleet.now += milliseconds(500);
-    }
+    fleet.lose_at_three_servers(deadly);
     for (std::size_t i = 0; i < 13; ++i) {
         fleet.restart(i);
         cr_assert_eq(fleet.refusing(deadly), 13);
@@ -283,10 +281,7 @@
 Test(quarantine, instance_cut_off_learns_with_the_next_loss) {
     informed_instances fleet(13);
     fleet.cut_off = 12;
-    for (std::size_t i = 0; i < 3; ++i) {
-        fleet.lose(i, deadly, i + 1);
-        fleet.now += milliseconds(500);
-    }
+    fleet.lose_at_three_servers(deadly);
     cr_assert_eq(fleet.refusing(deadly), 12);
     fleet.cut_off = 1000;
     fleet.lose(12, deadly, 4);
--- a/test/unit/store_restore_test.cpp
+++ b/test/unit/store_restore_test.cpp
@@ -40,6 +40,11 @@
         drain_server();
         run_until(now + seconds(1));
     }
+
+    void change_all_and_restore() {
+        change_all();
+        restore_store();
+    }
 };
 
 struct merging_fixture {
@@ -60,8 +65,7 @@
 Test(store_restore, edit_after_a_restore_reaches_all) {
     for (const std::size_t count : {13U, 60U}) {
         restored_cluster cluster(count);
-        cluster.change_all();
-        cluster.restore_store();
+        cluster.change_all_and_restore();
         cluster.run_until(cluster.now + seconds(2));
         cluster.edit_routes(30);
         cluster.run_until(cluster.now + seconds(2));
@@ -71,8 +75,7 @@
 
 Test(store_restore, changes_in_force_do_not_go_back) {
     restored_cluster cluster(13);
-    cluster.change_all();
-    cluster.restore_store();
+    cluster.change_all_and_restore();
     for (int i = 0; i < 40; ++i) {
         cluster.run_until(cluster.now + milliseconds(200));
         cr_assert_eq(cluster.count_with_newest_routes(), 13);
@@ -106,8 +109,7 @@
 
 Test(store_restore, second_restore_keeps_changes_too) {
     restored_cluster cluster(13);
-    cluster.change_all();
-    cluster.restore_store();
+    cluster.change_all_and_restore();
     cluster.run_until(cluster.now + seconds(1));
     cluster.restore_store();
     cluster.run_until(cluster.now + seconds(1));
@@ -122,8 +124,7 @@
 Test(store_restore, instance_cut_off_over_the_restore_gets_newer_routes) {
     restored_cluster cluster(13);
     cluster.cut_off(5);
-    cluster.change_all();
-    cluster.restore_store();
+    cluster.change_all_and_restore();
     cluster.run_until(cluster.now + seconds(1));
     cluster.reconnect();
     cluster.run_until(cluster.now + milliseconds(2500));
@@ -148,8 +149,7 @@
 
 Test(store_restore, starting_instances_take_newer_routes_of_their_peers) {
     restored_cluster cluster(13);
-    cluster.change_all();
-    cluster.restore_store();
+    cluster.change_all_and_restore();
     cluster.run_until(cluster.now + milliseconds(500));
     for (std::size_t i = 0; i < 6; ++i) {
         cluster.restart(i);
