--- a/test/unit/store_restore_test.cpp
+++ b/test/unit/store_restore_test.cpp
@@ -167,7 +167,8 @@
     const auto before = cluster.store_reads();
     cluster.run_until(cluster.now + seconds(5));
     const auto reads = cluster.store_reads() - before;
-    cr_assert_leq(reads, std::size_t{13 * 5 * 4}, "%zu", reads);
+    constexpr std::size_t allowed = 260; // four per instance and second
+    cr_assert_leq(reads, allowed, "%zu", reads);
     cr_assert_eq(cluster.count_with_newest_routes(), 13);
 }
 
