Let eight instances tell starting peers which requests are refused

Cause: only the two keepers of a request told instances that start. Seven of 19 instances were killed at once, both keepers among them; the logs show the request refused by 19 instances at 7 s, and again by the seven only at 14 s, after seven more losses.

Change: the eight instances of lowest rank for the request tell a peer that starts.

Test: restarted_instances_are_told_whom_to_refuse failed before (seven of 13 restarted, 40 requests) and passes.

--- a/include/lacewingbeam/request_quarantine.hpp
+++ b/include/lacewingbeam/request_quarantine.hpp
@@ -112,6 +112,8 @@
                       time_point now) const;
     void excuse_others(request_fingerprint request);
     void make_room(time_point now);
+    std::size_t rank_for(request_fingerprint request,
+                         const std::string& address) const;
     bool is_keeper(request_fingerprint request,
                    const std::string& address) const;
     static suspect_report to_report(request_fingerprint request,
--- a/src/decisions/placing/request_quarantine.cpp
+++ b/src/decisions/placing/request_quarantine.cpp
@@ -30,6 +30,10 @@
 // that different instances saw.
 constexpr std::size_t keepers = 2;
 
+// Instances that tell a peer that starts. More than half of all instances may
+// have started with it.
+constexpr std::size_t informants = 8;
+
 constexpr std::size_t all_peers_limit = 24;
 constexpr std::size_t relay_fan_out = 6;
 
@@ -254,7 +258,7 @@
     reports out;
     for (const auto& [request, entry] : suspects_) {
         if (count_events(entry.losses) >= losses_to_suspect &&
-            is_keeper(request, own_)) {
+            rank_for(request, own_) < informants) {
             out.push_back({peer, to_report(request, entry, now)});
         }
     }
@@ -308,14 +312,21 @@
     return out;
 }
 
-bool request_quarantine::is_keeper(request_fingerprint request,
-                                   const std::string& address) const {
+// Returns the position of an instance in an order that is different for each
+// request and the same on all instances.
+std::size_t request_quarantine::rank_for(request_fingerprint request,
+                                         const std::string& address) const {
     const auto rank = rank_of(request, address);
-    auto before = std::count_if(
+    const auto before = std::count_if(
         peers_.begin(), peers_.end(),
         [&](const std::string& peer) { return rank_of(request, peer) < rank; });
-    before += rank_of(request, own_) < rank ? 1 : 0;
-    return before < static_cast<std::ptrdiff_t>(keepers);
+    const bool own_before = rank_of(request, own_) < rank;
+    return static_cast<std::size_t>(before) + (own_before ? 1 : 0);
+}
+
+bool request_quarantine::is_keeper(request_fingerprint request,
+                                   const std::string& address) const {
+    return rank_for(request, address) < keepers;
 }
 
 suspect_report request_quarantine::to_report(request_fingerprint request,
--- a/test/unit/quarantine_test.cpp
+++ b/test/unit/quarantine_test.cpp
@@ -40,12 +40,17 @@
     void complete(std::size_t instance, request_fingerprint request) {
         deliver(instance, at(instance).on_completed(request, now));
     }
-    void restart(std::size_t instance) {
-        instances_[instance] = {};
-        connect(instance);
+    // Restarts the first instances at the same time.
+    void restart(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            instances_[i] = {};
+            connect(i);
+        }
         for (std::size_t i = 0; i < instances_.size(); ++i) {
-            if (i != instance) {
-                deliver(i, at(i).on_peer_started(address_of(instance), now));
+            for (std::size_t started = 0; started < count; ++started) {
+                if (i != started) {
+                    deliver(i, at(i).on_peer_started(address_of(started), now));
+                }
             }
         }
     }
@@ -269,12 +274,15 @@
     cr_assert_eq(known.losses(deadly), 1);
 }
 
-Test(quarantine, started_instance_is_told_whom_to_refuse) {
-    informed_instances fleet(13);
-    fleet.lose_at_three_servers(deadly);
-    for (std::size_t i = 0; i < 13; ++i) {
-        fleet.restart(i);
-        cr_assert_eq(fleet.refusing(deadly), 13);
+// Regression test: if the two keepers of a request had been restarted as well,
+// nobody told the instances that had.
+Test(quarantine, restarted_instances_are_told_whom_to_refuse) {
+    for (request_fingerprint request = 1; request <= 40; ++request) {
+        informed_instances fleet(13);
+        fleet.lose_at_three_servers(request);
+        cr_assert_eq(fleet.refusing(request), 13);
+        fleet.restart(7);
+        cr_assert_eq(fleet.refusing(request), 13);
     }
 }
 
