Keep the stand-in server alive when a caller leaves

The stand-in read the path of a request whose connection was gone, and ended with a segmentation fault in libevent. Whether a request is deadly is now noted when it arrives.

--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -47,7 +47,8 @@
     std::string request_id;
     std::size_t bytes = default_bytes;
     int work_ms = 0;
-    bool disconnected = false;
+    bool deadly = false;
+    bool disconnected = false; // the request must not be used any more
     bool running = false;
 };
 using job_ptr = std::shared_ptr<job>;
@@ -168,6 +169,7 @@
     const auto item = std::make_shared<job>();
     item->request = request;
     item->request_id = id;
+    item->deadly = request->path().ends_with(deadly_path);
     const auto bytes = request->query("bytes");
     const auto work = request->query("work");
     item->bytes = bytes.empty() ? default_bytes : std::stoul(bytes);
@@ -199,7 +201,7 @@
 }
 
 void backend_server::finish_job(const job_ptr& item) {
-    if (item->request->path().ends_with(deadly_path)) {
+    if (item->deadly) {
         std::_Exit(1);
     }
     --running_;
