Show that instances exceed the shared budget of repeats (known to fail)

A module test runs instances with the real membership and the real router against servers that refuse 0.6 of the requests, draws kills, restarts in turn, splits and pauses, and counts at the servers as the rule does.

Without a disturbance the budget holds (fourth test), so the resends as such are counted: what is at fault is what an instance takes for its share.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -9,27 +9,13 @@
 
 using testing_support::json;
 
-// Kinds that are listed twice are drawn twice as often.
-const std::vector<std::string> fault_kinds{
-    "router_kill",   "router_pause",   "router_stop",   "router_stop",
-    "router_reload", "server_kill",    "server_pause",  "server_leave",
-    "server_leave",  "server_refuse",  "answers_lost",  "answers_extra",
-    "answers_other", "answers_marked", "link_delay",    "link_cut",
-    "link_silent",   "link_reset",     "link_refuse",   "store_refuse",
-    "store_forget",  "store_pause",    "store_delay",   "store_silent",
-    "store_cut",     "store_hole",     "store_restore", "edit",
-    "edit"};
-
-constexpr std::int64_t mean_gap_ms = 450;
-constexpr std::int64_t min_duration_ms = 200;
-constexpr std::int64_t max_duration_ms = 2500;
+// Share of the requests that a service in trouble refuses.
+constexpr double shed_share = 0.6;
 
 // Time from the announcement of a leave to the removal of the registration. The
 // server accepts requests for longer than that.
 constexpr std::int64_t leave_ms = 4000;
 
-constexpr std::int64_t store_phase_ms = 5000;
-
 // Time from a restore of the store until lost rows are written again, and until
 // all instances have read them.
 constexpr std::int64_t write_again_delay_ms = 800;
@@ -45,33 +31,6 @@
     return "service" + std::to_string(number);
 }
 
-std::vector<fault> draw_schedule(const soak_options& options) {
-    std::mt19937_64 engine(options.seed);
-    const auto draw_between = [&](std::int64_t low, std::int64_t high) {
-        return low + static_cast<std::int64_t>(
-                         engine() % static_cast<std::uint64_t>(high - low));
-    };
-    std::vector<fault> schedule;
-    const auto end =
-        options.length_ms - options.fault_free_ms - max_duration_ms;
-    for (auto at = draw_between(500, 1500); at < end;
-         at += draw_between(0, 2 * mean_gap_ms)) {
-        fault event;
-        event.at_ms = at;
-        event.kind = fault_kinds[static_cast<std::size_t>(
-            draw_between(0, static_cast<std::int64_t>(fault_kinds.size())))];
-        event.target = static_cast<std::size_t>(draw_between(0, 1000));
-        event.duration_ms = draw_between(min_duration_ms, max_duration_ms);
-        // The time bounds on edits and leaving servers hold only while the
-        // store works, so part of the run has no store faults.
-        const bool store_undisturbed = at / store_phase_ms % 3 != 0;
-        if (!store_undisturbed || !event.kind.starts_with("store_")) {
-            schedule.push_back(event);
-        }
-    }
-    return schedule;
-}
-
 fault_director::fault_director(testing_support::installation& environment,
                                const soak_options& options, ledger& history)
     : environment_(environment), options_(options), history_(history),
@@ -188,6 +147,14 @@
               << std::endl;
     if (event.kind == "edit") {
         when_store_accepts_writes([this] { publish_next_routes(); });
+    } else if (event.kind == "servers_shed") {
+        shed_until(now_ms() + event.duration_ms);
+    } else if (event.kind == "routers_kill") {
+        const auto count = environment_.routers().size();
+        for (std::size_t i = 0; i < count; i += 2) {
+            begin_router_fault({event.at_ms, "router_kill", event.target + i,
+                                event.duration_ms});
+        }
     } else if (event.kind.starts_with("router_")) {
         begin_router_fault(event);
     } else if (event.kind.starts_with("store_")) {
@@ -201,6 +168,24 @@
     }
 }
 
+// Includes servers that are started meanwhile.
+void fault_director::shed_until(std::int64_t end_ms) {
+    constexpr std::int64_t step_ms = 500;
+    const bool over = now_ms() >= end_ms;
+    for (const auto& id : servers_) {
+        const auto& server = environment_.server(id);
+        if (server.child->is_running() && !paused_servers_.contains(id)) {
+            testing_support::installation::control(
+                server.address, {{"refuse_share", over ? 0 : shed_share}});
+        }
+    }
+    if (!over || !paused_servers_.empty()) {
+        schedule_step(
+            std::min(step_ms, std::max<std::int64_t>(50, end_ms - now_ms())),
+            [this, end_ms] { shed_until(end_ms); });
+    }
+}
+
 void fault_director::begin_router_fault(const fault& event) {
     const auto number = event.target % environment_.routers().size();
     auto& router = *environment_.routers()[number];
@@ -275,7 +260,9 @@
         });
     } else if (event.kind == "server_pause") {
         server.child->signal(SIGSTOP);
+        paused_servers_.insert(id);
         schedule_step(event.duration_ms, [this, id] {
+            paused_servers_.erase(id);
             environment_.server(id).child->signal(SIGCONT);
         });
     } else if (event.kind == "server_leave") {
@@ -369,10 +356,13 @@
 
 void fault_director::begin_store_fault(const fault& event) {
     const auto store = environment_.store_address();
+    const bool on_link =
+        event.kind == "store_delay" || event.kind == "store_silent" ||
+        event.kind == "store_cut" || event.kind == "store_hole";
+    if (store_unavailable_ && !on_link) {
+        return; // a paused store would not answer the request for the fault
+    }
     if (event.kind == "store_refuse" || event.kind == "store_pause") {
-        if (store_unavailable_) {
-            return; // one such fault at a time
-        }
         store_unavailable_ = true;
     }
     add_disturbance(disturbance::all_routers, event.duration_ms, event.kind);
@@ -411,13 +401,15 @@
     }
     environment_.copy_store();
     schedule_step(event.duration_ms, [this] {
-        add_disturbance(disturbance::all_routers, restore_effect_ms,
-                        "store_restore");
-        environment_.restore_store();
-        schedule_step(write_again_delay_ms, [this] {
-            when_store_accepts_writes([this] {
-                environment_.write_again();
-                restore_pending_ = false;
+        when_store_accepts_writes([this] {
+            add_disturbance(disturbance::all_routers, restore_effect_ms,
+                            "store_restore");
+            environment_.restore_store();
+            schedule_step(write_again_delay_ms, [this] {
+                when_store_accepts_writes([this] {
+                    environment_.write_again();
+                    restore_pending_ = false;
+                });
             });
         });
     });
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -61,6 +61,7 @@
     using step_function = std::function<void()>;
 
     void begin(const fault& event);
+    void shed_until(std::int64_t end_ms);
     void begin_router_fault(const fault& event);
     void begin_server_fault(const fault& event);
     void begin_link_fault(const fault& event, const std::string& control);
@@ -92,6 +93,7 @@
     std::vector<std::string> servers_; // ids by position
     std::size_t next_server_ = 0;
     std::set<std::string> departing_; // servers that are leaving or were killed
+    std::set<std::string> paused_servers_;
     std::map<std::string, std::int64_t> added_ms_;
     std::size_t moving_service_ = 0;
     bool restore_pending_ = false;
--- /dev/null
+++ b/test/soak/schedule.cpp
@@ -0,0 +1,88 @@
+#include "faults.hpp"
+
+#include <algorithm>
+
+// The schedule of faults, which depends on the options only.
+namespace soak {
+
+namespace {
+
+// Kinds that are listed twice are drawn twice as often.
+const std::vector<std::string> fault_kinds{
+    "router_kill",   "router_pause",   "router_stop",   "router_stop",
+    "router_reload", "server_kill",    "server_pause",  "server_leave",
+    "server_leave",  "server_refuse",  "answers_lost",  "answers_extra",
+    "answers_other", "answers_marked", "link_delay",    "link_cut",
+    "link_silent",   "link_reset",     "link_refuse",   "store_refuse",
+    "store_forget",  "store_pause",    "store_delay",   "store_silent",
+    "store_cut",     "store_hole",     "store_restore", "edit",
+    "edit"};
+
+constexpr std::int64_t mean_gap_ms = 450;
+constexpr std::int64_t min_duration_ms = 200;
+constexpr std::int64_t max_duration_ms = 2500;
+
+constexpr std::int64_t store_phase_ms = 5000;
+
+class schedule_engine {
+public:
+    explicit schedule_engine(std::uint64_t seed) : engine_(seed) {}
+
+    std::int64_t operator()(std::int64_t low, std::int64_t high) {
+        return low + static_cast<std::int64_t>(
+                         engine_() % static_cast<std::uint64_t>(high - low));
+    }
+
+private:
+    std::mt19937_64 engine_;
+};
+
+// All servers shed load while half of the routers are killed, again and again.
+void add_kills_under_shedding(const soak_options& options,
+                              std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 1000003;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end = options.length_ms - options.fault_free_ms;
+    if (draw_between(0, 2) == 0) {
+        return;
+    }
+    const auto from = draw_between(500, end / 2);
+    schedule.push_back({from, "servers_shed", 0, end - from});
+    for (auto at = from + draw_between(500, 3000); at < end - max_duration_ms;
+         at += draw_between(1500, 4000)) {
+        schedule.push_back({at, "routers_kill",
+                            static_cast<std::size_t>(draw_between(0, 1000)),
+                            draw_between(min_duration_ms, 1000)});
+    }
+}
+
+} // namespace
+
+std::vector<fault> draw_schedule(const soak_options& options) {
+    schedule_engine draw_between(options.seed);
+    std::vector<fault> schedule;
+    const auto end =
+        options.length_ms - options.fault_free_ms - max_duration_ms;
+    for (auto at = draw_between(500, 1500); at < end;
+         at += draw_between(0, 2 * mean_gap_ms)) {
+        fault event;
+        event.at_ms = at;
+        event.kind = fault_kinds[static_cast<std::size_t>(
+            draw_between(0, static_cast<std::int64_t>(fault_kinds.size())))];
+        event.target = static_cast<std::size_t>(draw_between(0, 1000));
+        event.duration_ms = draw_between(min_duration_ms, max_duration_ms);
+        // The time bounds on edits and leaving servers hold only while the
+        // store works, so part of the run has no store faults.
+        const bool store_undisturbed = at / store_phase_ms % 3 != 0;
+        if (!store_undisturbed || !event.kind.starts_with("store_")) {
+            schedule.push_back(event);
+        }
+    }
+    add_kills_under_shedding(options, schedule);
+    std::stable_sort(
+        schedule.begin(), schedule.end(),
+        [](const fault& a, const fault& b) { return a.at_ms < b.at_ms; });
+    return schedule;
+}
+
+} // namespace soak
--- a/test/unit/simulated_cluster.hpp
+++ b/test/unit/simulated_cluster.hpp
@@ -51,14 +51,20 @@
             nodes_.push_back(make_node(i));
         }
         alive.assign(count, true);
+        paused_.assign(count, false);
+        sides_.assign(count, 0);
         link_free_at_.assign(count, now);
     }
 
+    const directory_follower& follower(std::size_t node) const {
+        return *nodes_[node];
+    }
+
     void run_until(time_point end) {
         for (; now < end; now += milliseconds(1)) {
             deliver();
             for (std::size_t i = 0; i < nodes_.size(); ++i) {
-                if (alive[i] && nodes_[i]->next_due() <= now) {
+                if (alive[i] && !paused_[i] && nodes_[i]->next_due() <= now) {
                     execute(i, nodes_[i]->on_tick(now));
                 }
             }
@@ -97,6 +103,8 @@
 
     void restart(std::size_t node) {
         nodes_[node] = make_node(node);
+        alive[node] = true;
+        paused_[node] = false;
         std::erase_if(answers_,
                       [&](const answer& item) { return item.to == node; });
     }
@@ -177,6 +185,14 @@
         store_.server_changed_at = ++store_.revision;
     }
 
+    // A paused instance does nothing. What reaches it meanwhile is processed
+    // when it resumes.
+    void set_paused(std::size_t node, bool paused) { paused_[node] = paused; }
+
+    // Instances exchange messages only with those on the same side.
+    void split(std::vector<unsigned> sides) { sides_ = std::move(sides); }
+    void heal() { sides_.assign(nodes_.size(), 0); }
+
     // Neither sends nor receives messages or responses.
     void cut_off(std::size_t node) { cut_off_ = node; }
     void reconnect() { cut_off_ = nodes_.size(); }
@@ -364,7 +380,7 @@
                         1000;
         if (boost::random::bernoulli_distribution<double>(loss_rate_)(
                 engine_) ||
-            node == cut_off_ || to == cut_off_) {
+            node == cut_off_ || to == cut_off_ || sides_[node] != sides_[to]) {
             return;
         }
         if (const auto* rows = std::get_if<table_rows>(&action.message)) {
@@ -389,10 +405,11 @@
     void deliver() {
         std::vector<message> due_messages;
         std::erase_if(messages_, [&](const message& item) {
-            if (item.at <= now) {
+            const bool due = item.at <= now && !paused_[item.to];
+            if (due) {
                 due_messages.push_back(item);
             }
-            return item.at <= now;
+            return due;
         });
         for (const auto& item : due_messages) {
             if (alive[item.to]) {
@@ -409,10 +426,11 @@
             }
         }
         std::erase_if(answers_, [&](const answer& item) {
-            if (item.at <= now) {
+            const bool due = item.at <= now && !paused_[item.to];
+            if (due) {
                 due_answers.push_back(item);
             }
-            return item.at <= now;
+            return due;
         });
         for (const auto& item : due_answers) {
             const bool cut_off = item.to == cut_off_;
@@ -442,6 +460,8 @@
     std::vector<message> messages_;
     std::vector<answer> answers_;
     std::vector<time_point> link_free_at_;
+    std::vector<bool> paused_;
+    std::vector<unsigned> sides_;
     store_rows store_;
     store_rows copy_;
     unsigned edits_ = 1; // the operators' last
--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -33,6 +33,7 @@
     int work_ms = 20;
     bool leaving = false;
     bool refuse_all = false; // although it reports free slots
+    double refuse_share = 0; // of the requests, likewise
     std::string limit;       // named in each response, unless empty
     // The number of coming responses with each fault:
     int lose_answers = 0;     // connection closed after the run
@@ -81,6 +82,7 @@
     void refuse(const request_ptr& request, int status,
                 const std::string& reason) const;
     void accept(const request_ptr& request);
+    bool is_shed(const std::string& request_id) const;
     void start_waiting_jobs();
     void start_job(const job_ptr& item);
     void finish_job(const job_ptr& item);
@@ -127,6 +129,8 @@
         behaviour_.work_ms = body.value("work_ms", behaviour_.work_ms);
         behaviour_.leaving = body.value("leaving", behaviour_.leaving);
         behaviour_.refuse_all = body.value("refuse_all", behaviour_.refuse_all);
+        behaviour_.refuse_share =
+            body.value("refuse_share", behaviour_.refuse_share);
         behaviour_.limit = body.value("limit", behaviour_.limit);
         behaviour_.lose_answers =
             body.value("lose_answers", behaviour_.lose_answers);
@@ -162,7 +166,8 @@
         return;
     }
     std::cout << "arrived " << id << " " << now_ms() << std::endl;
-    if (behaviour_.refuse_all || waiting_.size() >= behaviour_.queue) {
+    if (behaviour_.refuse_all || is_shed(id) ||
+        waiting_.size() >= behaviour_.queue) {
         refuse(request, unavailable, "full");
         return;
     }
@@ -184,6 +189,15 @@
     start_waiting_jobs();
 }
 
+// Depends on the request and the server only, so that a run can be repeated.
+bool backend_server::is_shed(const std::string& request_id) const {
+    constexpr std::size_t parts = 100;
+    const auto part =
+        std::hash<std::string>{}(request_id + "/" + behaviour_.id) % parts;
+    return static_cast<double>(part) <
+           behaviour_.refuse_share * static_cast<double>(parts);
+}
+
 void backend_server::start_waiting_jobs() {
     while (running_ < behaviour_.slots && !waiting_.empty()) {
         const auto next = waiting_.front();
