Earn repeats over time, so that no share of the slack is held twice

Callers of services that shed load had their requests sent again more often than the operators' budget allows, whenever instances started again or lost sight of each other.

Cause: each process took a full share of the slack at once and kept its count in memory. A process that started again took the share that the one before it had used in the same window; and the share is the slack divided by the number of live instances, which drops when instances are killed, cut off or not discovered yet (16 were assumed by 117). The class: a share of a common limit that is held in memory and divided by a live count.

Ruled out: sends that nobody counts (all attempts come from place(), libevent's own retries are off; the module test with no disturbance holds), and the window's slide as such.

Change: a request earns 0.95 of the ratio, half of a share of the slack is earned evenly over each window, and what is unused is saved up to the other half. In every window the processes at one address therefore send at most what its requests earned plus one share, and a process that starts has earned nothing. A repeat is reserved when it is decided and counts when it is sent; place() sends nothing beyond the first attempt without one. Shares are divided among all instances heard of in 5 minutes (leaving ones: 15 s), by address, and not fewer than a peer counts; the probe and connection shares use the same count. LB1305 tells the count.

The test of a retried read expected repeats of a process 0.5 s after its start; it now earns them with 25 requests first and checks the same.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -140,8 +140,9 @@
     const directory& view() const { return directory_; }
     const membership& members() const { return members_; }
 
-    // Returns the number of active instances, including this one. During peer
-    // discovery after the start, it is at least assumed_instances_at_start.
+    // Returns the number of instances that share common limits, including this
+    // one. During peer discovery after the start, it is at least
+    // assumed_instances_at_start.
     std::size_t estimated_instance_count(time_point now) const;
 
     // Returns true once heartbeats of most peers have had the time to arrive.
--- a/include/lacewingbeam/membership.hpp
+++ b/include/lacewingbeam/membership.hpp
@@ -29,6 +29,9 @@
 struct membership_options {
     duration suspect_after = std::chrono::seconds(3);
     duration gone_after = std::chrono::seconds(15);
+    // An instance that fell silent without notice may be running on the other
+    // side of a partition. Its shares of common limits stay reserved this long.
+    duration share_hold = std::chrono::minutes(5);
     duration heartbeat_interval = std::chrono::milliseconds(500);
     std::size_t fan_out = 4;     // minimum number of heartbeat targets
     std::size_t max_fan_out = 6; // maximum number of heartbeat targets
@@ -77,6 +80,18 @@
     // neither leaving nor suspected.
     std::size_t active_count(time_point now) const;
 
+    // Returns the number of instances that may use their shares of common
+    // limits: this one and all that gave a sign of life within share_hold, or
+    // within gone_after if they were leaving. Not less than a peer has counted
+    // within share_hold.
+    std::size_t sharing_count(time_point now) const;
+
+    // The same without what peers have counted; told to them.
+    std::size_t own_sharing_count(time_point now) const;
+
+    // A peer told its own_sharing_count.
+    void on_sharing_count(std::size_t count, time_point now);
+
     // Returns the number of active instances in this instance's failure domain,
     // and its rank among them in order of incarnation.
     std::size_t domain_count(time_point now) const;
@@ -101,6 +116,13 @@
         time_point last_heard_at;
     };
 
+    struct sharer {
+        time_point last_heard_at;
+        bool leaving = false;
+    };
+
+    bool is_sharing(const sharer& value, time_point now) const;
+    void note_sharer(const member& heard, time_point at);
     member to_member(const record& value, time_point now) const;
     bool is_active(const record& value, time_point now) const;
     bool address_known(const std::string& peer_address) const;
@@ -113,6 +135,11 @@
     std::vector<std::string> seeds_;
     std::vector<std::string> discovered_;
     std::map<incarnation, record> unconfirmed_;
+    // By address, since a process that starts takes over the share of the one
+    // before it.
+    std::map<std::string, sharer> sharers_;
+    std::size_t told_sharers_ = 0; // the largest count of a peer
+    time_point sharers_told_at_;
     std::size_t next_contact_ = 0;
     incarnation last_target_;
 };
--- a/include/lacewingbeam/peer_messages.hpp
+++ b/include/lacewingbeam/peer_messages.hpp
@@ -46,6 +46,7 @@
     std::vector<server_load> loads;
     std::vector<leaving_server> leaving;
     std::vector<member> members;
+    std::size_t sharing_instances = 0; // that the sender itself counts
 };
 
 // Requests table rows newer than `have_version` from a peer. A peer answers
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -166,8 +166,9 @@
     // in progress and the counts of budgets are kept.
     void reconfigure(router_options options);
 
-    // Sets the number of instances that share the budgets.
-    void set_instances(std::size_t count) { instances_ = count; }
+    // Sets the number of instances that share the budgets, and whether all of
+    // them are known. Until they are, the slack of the repeats is not used.
+    void set_instances(std::size_t count, bool all_known, time_point now);
 
     // Sets the instances that share the limits that servers name.
     void set_peers(std::string own, std::vector<std::string> peers) {
@@ -265,8 +266,9 @@
         unsigned attempts = 0;
         unsigned priority = 0;
         bool hedged = false;
-        bool waiting = false; // for a slot
-        unsigned probed = 0;  // servers probed for this placement
+        bool repeat_reserved = false; // for the next attempt
+        bool waiting = false;         // for a slot
+        unsigned probed = 0;          // servers probed for this placement
         std::vector<std::string> tried;
         std::vector<probe_id> pending_probes;
         std::vector<attempt_id> running_attempts;
@@ -289,6 +291,8 @@
                                            random_engine& engine);
     server_entry& entry_of(const std::string& id);
     service_entry& entry_of_service(const std::string& name);
+    repeat_budget& repeats_of(const std::string& service, time_point now);
+    std::optional<std::size_t> sharing_instances() const;
     token_bucket& probe_budget_of(server_entry& entry, time_point now);
     double failure_score_of(const server_entry& entry, time_point now) const;
     void record_outcome(const std::string& server, bool good, double weight,
@@ -339,7 +343,8 @@
     void update_estimates(const request_entry& request,
                           const attempt_entry& attempt, double response_kb,
                           time_point now);
-    bool try_take_repeat(request_entry& request, time_point now);
+    bool try_reserve_repeat(request_entry& request, time_point now);
+    void release_repeat(request_entry& request);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
     bool refuse_if_quarantined(request_entry& request, time_point now,
@@ -372,6 +377,7 @@
     router_options options_;
     random_engine engine_;
     std::size_t instances_ = 1;
+    bool all_instances_known_ = true;
     server_limits limits_;
     request_quarantine quarantine_;
     std::set<request_fingerprint> quarantined_; // as last told by an action
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -39,6 +39,8 @@
   10: i64 routes_as_of_ms,
   // The era of the metadata store in which that clock counts.
   11: i64 routes_as_of_era,
+  // Number of instances that share common limits, as the sender itself counts.
+  12: i32 sharing_instances,
 }
 
 struct table_request {
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 37> catalogue{{
+constexpr std::array<event_description, 38> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -74,6 +74,8 @@
     {event_number::server_limit_invalid, log_level::warning,
      "server_limit_invalid",
      "A backend server named a limit that is not a number; it is ignored."},
+    {event_number::budgets_shared, log_level::info, "budgets_shared",
+     "The number of instances that share the common budgets changed."},
     {event_number::call_may_have_run, log_level::warning, "call_may_have_run",
      "A call ended without a response and may have been executed."},
     {event_number::call_refused, log_level::debug, "call_refused",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -43,6 +43,7 @@
     server_replaced = 1302,
     server_limit_changed = 1303,
     server_limit_invalid = 1304,
+    budgets_shared = 1305,
     call_may_have_run = 1401,
     call_refused = 1402,
     answer_broken_off = 1403,
--- a/src/adapters/wire_codec.cpp
+++ b/src/adapters/wire_codec.cpp
@@ -201,6 +201,8 @@
         for (const auto& item : value.members) {
             beat.members.push_back(to_wire(item));
         }
+        beat.sharing_instances =
+            static_cast<std::int32_t>(value.sharing_instances);
         out.__set_beat(beat);
     }
 
@@ -295,6 +297,8 @@
     for (const auto& item : value.members) {
         beat.members.push_back(from_wire(item));
     }
+    beat.sharing_instances = static_cast<std::size_t>(
+        std::max<std::int32_t>(0, value.sharing_instances));
     return beat;
 }
 
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -152,7 +152,7 @@
 }
 
 std::size_t directory_follower::estimated_instance_count(time_point now) const {
-    const auto counted = members_.active_count(now);
+    const auto counted = members_.sharing_count(now);
     const bool unknown = now - started_at_ < peer_discovery_period;
     return std::max<std::size_t>(counted,
                                  unknown ? assumed_instances_at_start : 1);
@@ -432,6 +432,7 @@
     beat.sender = members_.own();
     beat.sequence = ++heartbeat_sequence_;
     beat.members = members_.sample(gossip_members, engine_, now);
+    beat.sharing_instances = members_.own_sharing_count(now);
     if (const auto as_of = freshness_.routes_as_of()) {
         beat.table_version = directory_.routes_version();
         beat.routes_as_of = *as_of;
--- a/src/decisions/knowledge/directory_spread.cpp
+++ b/src/decisions/knowledge/directory_spread.cpp
@@ -160,6 +160,7 @@
         const bool known = members_.find(beat->sender.id, now).has_value();
         members_.on_heartbeat(beat->sender, beat->sequence, now);
         members_.on_gossip(beat->members, now);
+        members_.on_sharing_count(beat->sharing_instances, now);
         on_era(beat->routes_as_of.era, now);
         note_peer_routes(beat->table_version, beat->routes_as_of, now);
         if (beat->table_version > directory_.routes_version()) {
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -28,6 +28,7 @@
     if (sender.id == own_.id) {
         return false;
     }
+    note_sharer(sender, now);
     const auto known = records_.find(sender.id);
     if (known == records_.end()) {
         if (records_.size() >= max_members) {
@@ -49,6 +50,7 @@
 
 void membership::on_gossip(std::span<const member> members, time_point now) {
     for (const auto& reported : members) {
+        note_sharer(reported, now - reported.age);
         const auto heard = records_.find(reported.id);
         if (heard != records_.end()) {
             heard->second.last_heard_at =
@@ -76,6 +78,9 @@
         return now - item.second.last_heard_at > options_.gone_after;
     };
     std::erase_if(records_, is_gone);
+    std::erase_if(sharers_, [&](const auto& item) {
+        return !is_sharing(item.second, now);
+    });
     std::erase_if(unconfirmed_, [&](const auto& item) {
         return is_gone(item) || records_.contains(item.first);
     });
@@ -185,6 +190,45 @@
     return count;
 }
 
+bool membership::is_sharing(const sharer& value, time_point now) const {
+    return now - value.last_heard_at <=
+           (value.leaving ? options_.gone_after : options_.share_hold);
+}
+
+void membership::note_sharer(const member& heard, time_point at) {
+    if (heard.peer_address == own_.peer_address) {
+        return;
+    }
+    const auto found = sharers_.find(heard.peer_address);
+    if (found == sharers_.end() && sharers_.size() >= max_members) {
+        return;
+    }
+    auto& known = sharers_[heard.peer_address];
+    if (at >= known.last_heard_at) {
+        known = {at, heard.state == member_state::leaving};
+    }
+}
+
+std::size_t membership::own_sharing_count(time_point now) const {
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   sharers_.begin(), sharers_.end(), [&](const auto& item) {
+                       return is_sharing(item.second, now);
+                   }));
+}
+
+std::size_t membership::sharing_count(time_point now) const {
+    const bool told = now - sharers_told_at_ <= options_.share_hold;
+    return std::max(own_sharing_count(now), told ? told_sharers_ : 0);
+}
+
+void membership::on_sharing_count(std::size_t count, time_point now) {
+    const bool expired = now - sharers_told_at_ > options_.share_hold;
+    if (count >= told_sharers_ || expired) {
+        told_sharers_ = std::min(count, max_members);
+        sharers_told_at_ = now;
+    }
+}
+
 std::size_t membership::own_rank(time_point now) const {
     std::size_t rank = 0;
     for (const auto& [id, item] : records_) {
--- a/src/decisions/placing/repeat_budget.cpp
+++ b/src/decisions/placing/repeat_budget.cpp
@@ -6,45 +6,77 @@
 
 namespace {
 
-// The rest covers repeats that are delayed into the next window and instances
-// that were discovered only recently.
-constexpr double usable_fraction = 0.85;
+// The rest covers repeats that links hold up until a later window, and
+// instances that were not discovered yet.
+constexpr double usable_slack = 0.85;
+constexpr double usable_ratio = 0.95;
 
-void drop_before(std::deque<time_point>& times, time_point limit) {
-    while (!times.empty() && times.front() < limit) {
-        times.pop_front();
-    }
-}
+// The part of a share that may be saved. The rest is earned in each window.
+constexpr double saved_fraction = 0.5;
 
 } // namespace
 
-void repeat_budget::drop_expired(time_point now) {
-    drop_before(requests_, now - limits_.window);
-    drop_before(repeats_, now - limits_.window);
+double repeat_budget::share() const {
+    return instances_
+               ? usable_slack * limits_.slack /
+                     static_cast<double>(std::max<std::size_t>(1, *instances_))
+               : 0;
 }
 
-void repeat_budget::on_request(time_point now) {
-    drop_expired(now);
-    requests_.push_back(now);
+// Less than one could never be sent.
+double repeat_budget::max_saved() const {
+    const bool any_allowed = limits_.ratio > 0 || limits_.slack > 0;
+    return any_allowed ? std::max(1.0, saved_fraction * share()) : 0;
+}
+
+void repeat_budget::set_limits(repeat_limits limits) {
+    limits_ = limits;
+    earned_ = std::min(earned_, max_saved());
 }
 
-bool repeat_budget::can_take(std::size_t instances, time_point now) {
-    drop_expired(now);
-    const double share =
-        limits_.slack /
-        static_cast<double>(std::max<std::size_t>(1, instances));
-    const double allowed =
-        usable_fraction *
-        (limits_.ratio * static_cast<double>(requests_.size()) + share);
-    return static_cast<double>(repeats_.size()) + 1 <= allowed;
+// What was saved under a larger share is kept.
+void repeat_budget::earn(double repeats) {
+    earned_ = std::max(earned_, std::min(earned_ + repeats, max_saved()));
 }
 
-bool repeat_budget::try_take(std::size_t instances, time_point now) {
-    if (!can_take(instances, now)) {
+void repeat_budget::earn_by_time(time_point now) {
+    const std::chrono::duration<double> elapsed =
+        now - earned_until_.value_or(now);
+    const std::chrono::duration<double> window = limits_.window;
+    earned_until_ = now;
+    if (elapsed.count() > 0) {
+        const double per_window = std::max(0.0, share() - max_saved());
+        earn(per_window * elapsed.count() / window.count());
+    }
+}
+
+void repeat_budget::set_instances(std::optional<std::size_t> count,
+                                  time_point now) {
+    earn_by_time(now);
+    instances_ = count;
+}
+
+void repeat_budget::on_request(time_point now) {
+    earn_by_time(now);
+    earn(usable_ratio * limits_.ratio);
+}
+
+bool repeat_budget::try_reserve(time_point now) {
+    earn_by_time(now);
+    if (earned_ < reserved_ + 1) {
         return false;
     }
-    repeats_.push_back(now);
+    ++reserved_;
     return true;
 }
 
+void repeat_budget::on_sent() {
+    release();
+    earned_ -= 1;
+}
+
+void repeat_budget::release() {
+    reserved_ -= 1;
+}
+
 } // namespace lacewingbeam
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -5,6 +5,7 @@
 #include <boost/random/uniform_real_distribution.hpp>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 // Choice of a backend server for a request.
 namespace lacewingbeam {
@@ -62,8 +63,10 @@
     }
     for (const auto& id : ids) {
         const auto found = servers_.find(id);
-        if (directory_.find(id) != nullptr) {
-            probe_budget_of(entry_of(id), now); // starts accumulating tokens
+        if (const auto* known = directory_.find(id)) {
+            // Both start to accumulate.
+            probe_budget_of(entry_of(id), now);
+            repeats_of(known->info.service, now);
             continue;
         }
         limits_.forget(id);
@@ -338,7 +341,9 @@
     auto scored = score(request, now);
     const bool running = !request.running_attempts.empty();
     if (scored.empty()) {
-        if (!running) {
+        if (running) {
+            release_repeat(request);
+        } else {
             wait_for_limited_server(request, now, out);
         }
         return;
@@ -366,6 +371,7 @@
         if (best.eligible) {
             place(request, best, count, now, out);
         }
+        release_repeat(request);
         return;
     }
     const double objective_left_ms =
@@ -438,6 +444,13 @@
     if (refuse_if_quarantined(request, now, out)) {
         return;
     }
+    const bool is_repeat = request.attempts > 0;
+    if (is_repeat && !std::exchange(request.repeat_reserved, false)) {
+        return;
+    }
+    if (is_repeat) {
+        repeats_of(request.service, now).on_sent();
+    }
     const auto& server = *directory_.find(chosen.id);
     auto& entry = entry_of(chosen.id);
     const auto id = attempt_id{next_attempt_++};
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
+#include <utility>
 
 // The life cycle of a request.
 namespace lacewingbeam {
@@ -55,6 +56,21 @@
     }
 }
 
+void request_router::set_instances(std::size_t count, bool all_known,
+                                   time_point now) {
+    instances_ = count;
+    all_instances_known_ = all_known;
+    for (auto& [name, service] : services_) {
+        if (service.repeats) {
+            service.repeats->set_instances(sharing_instances(), now);
+        }
+    }
+}
+
+std::optional<std::size_t> request_router::sharing_instances() const {
+    return all_instances_known_ ? std::optional(instances_) : std::nullopt;
+}
+
 bool request_router::on_limit(std::string_view server,
                               std::optional<double> per_second,
                               time_point now) {
@@ -81,11 +97,17 @@
 
 request_router::service_entry&
 request_router::entry_of_service(const std::string& name) {
-    auto& entry = services_[name];
-    if (!entry.repeats) {
-        entry.repeats = std::make_unique<repeat_budget>(options_.repeats);
+    return services_[name];
+}
+
+repeat_budget& request_router::repeats_of(const std::string& service,
+                                          time_point now) {
+    auto& repeats = entry_of_service(service).repeats;
+    if (!repeats) {
+        repeats = std::make_unique<repeat_budget>(options_.repeats);
+        repeats->set_instances(sharing_instances(), now);
     }
-    return entry;
+    return *repeats;
 }
 
 bool request_router::can_decide(time_point now) const {
@@ -144,7 +166,7 @@
     }
     entry.deadline = now + limit;
     entry.objective = chosen->objective.value_or(limit / objective_divisor);
-    entry_of_service(entry.service).repeats->on_request(now);
+    repeats_of(entry.service, now).on_request(now);
     auto& added = requests_[entry.id] = std::move(entry);
     if (limit <= duration::zero()) {
         finish(added, not_run{not_run_reason::deadline_passed}, std::nullopt,
@@ -180,7 +202,7 @@
         const bool retry = answered->server_error &&
                            request.retry == retry_policy::retryable &&
                            (!request.running_attempts.empty() ||
-                            try_take_repeat(request, now));
+                            try_reserve_repeat(request, now));
         if (retry) {
             request.lost_reason = may_have_run_reason::server_failed;
             if (request.running_attempts.empty()) {
@@ -244,7 +266,12 @@
         (std::min(observed, max_latency_ratio * base_latency) - base_latency);
 }
 
-bool request_router::try_take_repeat(request_entry& request, time_point now) {
+// Every attempt beyond the first needs a reserved repeat, which `place` sends.
+bool request_router::try_reserve_repeat(request_entry& request,
+                                        time_point now) {
+    if (request.repeat_reserved) {
+        return true;
+    }
     if (request.attempts >= request.max_attempts || now >= request.deadline) {
         return false;
     }
@@ -256,12 +283,19 @@
         request_quarantine::losses_to_suspect) {
         return false;
     }
-    return entry_of_service(request.service).repeats->try_take(instances_, now);
+    request.repeat_reserved = repeats_of(request.service, now).try_reserve(now);
+    return request.repeat_reserved;
+}
+
+void request_router::release_repeat(request_entry& request) {
+    if (std::exchange(request.repeat_reserved, false)) {
+        entry_of_service(request.service).repeats->release();
+    }
 }
 
 void request_router::retry_or_finish(request_entry& request, time_point now,
                                      actions& out) {
-    if (try_take_repeat(request, now)) {
+    if (try_reserve_repeat(request, now)) {
         start_placement(request, now, out);
         return;
     }
@@ -303,6 +337,7 @@
 void request_router::remove_request(call_id id, std::optional<attempt_id> keep,
                                     actions& out) {
     const auto found = requests_.find(id);
+    release_repeat(found->second);
     for (const auto attempt : found->second.running_attempts) {
         if (attempt == keep) {
             continue;
@@ -369,7 +404,7 @@
                                actions& out) {
     request.hedged = true;
     if (quarantine_.losses(request.fingerprint) == 0 &&
-        try_take_repeat(request, now)) {
+        try_reserve_repeat(request, now)) {
         start_placement(request, now, out);
     }
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -177,7 +177,18 @@
 
 void router_process::update_instances() {
     const auto now = loop_.now();
-    router_->set_instances(follower_->estimated_instance_count(now));
+    const auto sharing = follower_->estimated_instance_count(now);
+    const bool all_known = follower_->knows_peers(now);
+    router_->set_instances(sharing, all_known, now);
+    if (sharing != sharing_instances_ || all_known != all_instances_known_) {
+        sharing_instances_ = sharing;
+        all_instances_known_ = all_known;
+        log_event(
+            event_number::budgets_shared,
+            {{"instances", std::to_string(sharing)},
+             {"active", std::to_string(follower_->members().active_count(now))},
+             {"all_known", all_known ? "yes" : "no"}});
+    }
     if (!follower_->knows_peers(now)) {
         return;
     }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -58,6 +58,8 @@
     scoped_event settings_check_timer_;
     time_point last_loop_check_at_;
     std::set<incarnation> known_peers_;
+    std::size_t sharing_instances_ = 0; // as last logged
+    bool all_instances_known_ = false;
     duration max_loop_delay_{};
     std::optional<time_point> stopping_since_;
     time_point last_unsent_at_; // last time that a response had unsent bytes
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -148,7 +148,7 @@
     if (event.kind == "edit") {
         when_store_accepts_writes([this] { publish_next_routes(); });
     } else if (event.kind == "servers_shed") {
-        shed_until(now_ms() + event.duration_ms);
+        shed_until(started_ms_ + event.at_ms + event.duration_ms);
     } else if (event.kind == "routers_kill") {
         const auto count = environment_.routers().size();
         for (std::size_t i = 0; i < count; i += 2) {
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -394,7 +394,7 @@
     router_fixture_options options;
     options.router.probes_per_second = 20;
     router_fixture fixture(options);
-    fixture.router.set_instances(10);
+    fixture.router.set_instances(10, true, fixture.now);
     unsigned probes = 0;
     const auto begin = fixture.now;
     std::uint64_t id = 1;
@@ -413,6 +413,9 @@
     const repeat_limits limits{0.2, 56, seconds(10)};
     constexpr std::size_t instances = 13;
     std::vector<repeat_budget> budgets(instances, repeat_budget(limits));
+    for (auto& budget : budgets) {
+        budget.set_instances(instances, start);
+    }
     unsigned requests = 0;
     unsigned repeats = 0;
     for (auto now = start; now < start + seconds(10); now += milliseconds(10)) {
@@ -420,7 +423,10 @@
         receiver.on_request(now);
         ++requests;
         for (auto& budget : budgets) {
-            repeats += budget.try_take(instances, now) ? 1 : 0;
+            if (budget.try_reserve(now)) {
+                budget.on_sent();
+                ++repeats;
+            }
         }
     }
     cr_assert_leq(repeats, 0.2 * requests + 56);
--- a/test/unit/shared_budget_test.cpp
+++ b/test/unit/shared_budget_test.cpp
@@ -120,7 +120,7 @@
 
 // Regression test: instances that started again, or knew of fewer peers than
 // there were, took shares of the slack that others had used or held.
-Test(known_red, random_disturbances_keep_arrivals_within_the_limit) {
+Test(shared_budget, random_disturbances_keep_arrivals_within_the_limit) {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
         shedding_options options;
         options.seed = seed;
@@ -130,7 +130,7 @@
     }
 }
 
-Test(known_red, restart_of_all_of_many_instances_stays_within_the_limit) {
+Test(shared_budget, restart_of_all_of_many_instances_stays_within_the_limit) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         shedding_options options;
         options.instances = 117;
@@ -155,7 +155,7 @@
     }
 }
 
-Test(known_red, halves_cut_off_from_each_other_stay_within_the_limit) {
+Test(shared_budget, halves_cut_off_from_each_other_stay_within_the_limit) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
         shedding_options options;
         options.seed = seed;
--- a/test/unit/shedding_cluster.hpp
+++ b/test/unit/shedding_cluster.hpp
@@ -200,8 +200,9 @@
     void update_instances(std::size_t i) {
         if (runs(i) && now() >= next_update_[i]) {
             next_update_[i] = now() + milliseconds(250);
-            routers_[i]->set_instances(
-                cluster.follower(i).estimated_instance_count(now()));
+            const auto& follower = cluster.follower(i);
+            routers_[i]->set_instances(follower.estimated_instance_count(now()),
+                                       follower.knows_peers(now()), now());
         }
     }
 
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -127,6 +127,15 @@
     cr_assert(eventually([] {
         return cluster->log_of(router()).find("servers=2") != std::string::npos;
     }));
+    // Requests earn the repeats, as soon as it is known who shares the budget.
+    cr_assert(eventually([] {
+        return cluster->log_of(router()).find("all_known=yes") !=
+               std::string::npos;
+    }));
+    for (int i = 0; i < 25; ++i) {
+        const auto id = "earning" + std::to_string(i);
+        assert_complete(send_request(get_request("/safe/x", id)), id, 300);
+    }
     set_behaviour("s1", {{"lose_answers", 100}});
     for (int i = 0; i < 6; ++i) {
         const auto id = "r" + std::to_string(i);
