Forward requests to a peer while the path to the servers is lost

Callers of an instance that had lost its links to all servers were refused, or waited to the end, for as long as the cut lasted, although every other instance reached the servers.

Cause: each failure was booked on the server where it showed; once all were distrusted alike, the next request went to any of them, and nothing but a server could serve it. The class: a failure of the instance itself that is taken for one of the others, and no way to pass work on. Ruled out: rotation (the instance stayed ready, as the platform would ignore it anyway when a whole failure domain is cut) and the budget of repeats (connect_failed was refused with budget left).

Change: path_monitor believes a path lost when three servers of a service (four of all) are silent one after the other, for 0.1 s at least, and none responds. Refused and unmade connections count; probes without a response only after a check with 0.2 s. While a path is lost its servers are not distrusted, requests are forwarded to peers, and a server is checked every 0.2 s; any response ends it. A peer in the own failure domain is asked first, then others; those that served lately before all, those that reach no server not for 1 s. A request that no server can have received after its attempts is forwarded as well. The peer gets the attempts and the time that are left, forwards no further, and answers with a verdict: only not_run lets another be tried. A token made with the peers' key marks such requests; the header is never passed on. The instance that the caller sent it to counts the request in the budget; attempts that cannot have arrived are no repeats. LB1306, LB1307, LB1608, gauge lost_paths; the token code moved to the adapters, as both programs use it.

--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -7,6 +7,7 @@
 #include "directory.hpp"
 #include "expected_time.hpp"
 #include "load_predictor.hpp"
+#include "path_monitor.hpp"
 #include "repeat_budget.hpp"
 #include "request_quarantine.hpp"
 #include "routing.hpp"
@@ -31,7 +32,8 @@
 
 enum class probe_failure {
     refused,           // the server reported that it accepts no work
-    no_response,       // no response in time, or no connection
+    no_response,       // no response in time
+    unreachable,       // no connection
     connection_broken, // the connection was lost; a new one may work
 };
 
@@ -42,6 +44,15 @@
     std::string path;
     std::optional<duration> caller_time_left;
     request_fingerprint fingerprint = 0;
+    bool forwarded = false; // by another instance, whose caller sent it
+    std::optional<unsigned> max_attempts = {}; // if less than the route's
+};
+
+// Another instance, to which requests may be forwarded.
+struct forwarding_peer {
+    std::string address; // IP:port for callers
+    incarnation id;
+    std::string failure_domain;
 };
 
 // Asks a backend server for its load.
@@ -73,6 +84,28 @@
     std::size_t candidates = 0;
 };
 
+// Forwards the request to another instance, because this one has no path to the
+// servers. That instance does not forward it again.
+struct forward_action {
+    call_id call{};
+    attempt_id attempt{};
+    std::string service;
+    forwarding_peer peer;
+    duration time_left{};
+    unsigned attempts = 1; // that the peer may make
+    bool repeatable = false;
+    bool path_lost = false; // otherwise only this request could not be sent
+};
+
+// The path to the servers of a service, or of all services, was lost or is
+// back.
+struct path_action {
+    std::string service; // empty: all
+    bool lost = false;
+    std::size_t silent_servers = 0;
+    duration lost_for{};
+};
+
 // Closes the connection of an attempt that is no longer needed.
 struct cancel_action {
     attempt_id attempt{};
@@ -106,8 +139,9 @@
 };
 
 using router_action =
-    std::variant<probe_action, send_action, cancel_action, deliver_action,
-                 finish_action, report_action, quarantine_action>;
+    std::variant<probe_action, send_action, forward_action, path_action,
+                 cancel_action, deliver_action, finish_action, report_action,
+                 quarantine_action>;
 
 // Outcomes of an attempt.
 struct attempt_answered {
@@ -176,6 +210,12 @@
         limits_.set_instances(std::move(own), std::move(peers));
     }
 
+    // Sets the instances to which requests may be forwarded.
+    void set_forwarding_peers(std::vector<forwarding_peer> peers);
+
+    // Returns the number of services whose servers have no path from here.
+    std::size_t lost_paths() const;
+
     actions on_suspect_report(const std::string& from,
                               const suspect_report& report, time_point now);
     actions on_peer_started(const std::string& peer, time_point now);
@@ -241,6 +281,10 @@
         contention_estimator contention;
         load_predictor predictor;
         std::set<std::string> subset; // empty: not selected yet
+        path_monitor path{silent_servers_of_service};
+        time_point next_path_check;
+        // Requests are sent to servers rather than peers until then.
+        time_point peers_useless_until;
     };
 
     struct attempt_entry {
@@ -249,6 +293,8 @@
         time_point sent_at;
         server_load_sample load; // at placement
         server_fingerprint server_run = 0;
+        std::string peer; // address, if it was forwarded; then no server
+        unsigned forwarded_attempts = 0; // that the peer may make
     };
 
     struct request_entry {
@@ -264,6 +310,10 @@
         time_point arrived;
         time_point deadline;
         unsigned attempts = 0;
+        unsigned may_have_arrived =
+            0;                  // attempts that may have reached a server
+        bool forwarded = false; // by another instance
+        std::vector<std::string> tried_peers;
         unsigned priority = 0;
         bool hedged = false;
         bool repeat_reserved = false; // for the next attempt
@@ -278,6 +328,10 @@
         std::optional<not_run_reason> refused_reason;
     };
 
+    // Silent servers without a response between them that show a lost path.
+    static constexpr std::size_t silent_servers_of_service = 3;
+    static constexpr std::size_t silent_servers_of_all = 4;
+
     struct scored_server {
         std::string id;
         double expected_ms = 0;
@@ -335,7 +389,7 @@
     void decide(request_entry& request, time_point now, actions& out);
     std::vector<scored_server> score(const request_entry& request,
                                      time_point now);
-    unsigned connection_share(const request_entry& request) const;
+    unsigned connection_share(unsigned max_connections) const;
     void place(request_entry& request, const scored_server& chosen,
                std::size_t count, time_point now, actions& out);
     void retry_or_finish(request_entry& request, time_point now, actions& out);
@@ -344,6 +398,7 @@
                           const attempt_entry& attempt, double response_kb,
                           time_point now);
     bool try_reserve_repeat(request_entry& request, time_point now);
+    bool take_reserved_repeat(request_entry& request);
     void release_repeat(request_entry& request);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
@@ -354,6 +409,26 @@
                     actions& out);
     void note_server_alive(const std::string& server, time_point sent_at,
                            time_point now, actions& out);
+    bool is_path_lost(const std::string& service);
+    void note_response(const std::string& server, time_point now, actions& out);
+    void note_doubt(const std::string& server, time_point now);
+    void note_silence(const std::string& server, time_point now, actions& out);
+    void note_outcome(const std::string& server, const attempt_outcome& result,
+                      time_point now, actions& out);
+    void on_path_lost(const std::string& service, std::size_t silent,
+                      time_point now, actions& out);
+    void check_paths(time_point now, actions& out);
+    void send_path_check(const std::string& service, time_point now,
+                         actions& out);
+    std::optional<time_point> path_check_due() const;
+    const forwarding_peer* pick_peer(const request_entry& request,
+                                     time_point now);
+    bool try_forward(request_entry& request, time_point now, actions& out);
+    void on_forward_ended(request_entry& request, const attempt_entry& attempt,
+                          attempt_id id, const attempt_outcome& result,
+                          time_point now, actions& out);
+    void forward_again_or_finish(request_entry& request, time_point now,
+                                 actions& out);
     void finish(request_entry& request, const verdict& outcome,
                 std::optional<duration> retry_after, actions& out);
     void remove_request(call_id id, std::optional<attempt_id> keep,
@@ -388,11 +463,18 @@
     std::map<attempt_id, attempt_entry> attempts_;
 
     struct sent_probe {
-        call_id call{};
+        std::optional<call_id> call; // nullopt: checks the path
         std::string server;
         time_point sent_at;
     };
     std::map<probe_id, sent_probe> probes_;
+    path_monitor all_paths_{silent_servers_of_all};
+    std::vector<forwarding_peer> forwarding_peers_;
+    struct peer_state {
+        time_point avoided_until;
+        std::optional<time_point> worked_at; // last response of a server
+    };
+    std::map<std::string, peer_state> peer_states_; // by address
     std::uint64_t next_attempt_ = 1;
     std::uint64_t next_probe_ = 1;
     bool stopping_ = false;
--- a/include/lacewingbeam/verdict.hpp
+++ b/include/lacewingbeam/verdict.hpp
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBEAM_VERDICT_HPP
 #define LACEWINGBEAM_VERDICT_HPP
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,6 +27,7 @@
     ticket_expired,
     ticket_content_differs,
     quarantined, // it crashed the servers that ran it
+    no_path,     // from this instance to any backend server
 };
 
 // Reasons why a request may have run without a known answer.
@@ -79,6 +81,9 @@
 // "not_run; reason=shed".
 std::string to_string(const verdict& value);
 
+// Parses the value of that header. Returns nullopt for other text.
+std::optional<verdict> parse_verdict(std::string_view text);
+
 // True if retrying the request cannot make it run twice.
 bool certainly_not_run(const verdict& value);
 
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 38> catalogue{{
+constexpr std::array<event_description, 41> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -76,6 +76,11 @@
      "A backend server named a limit that is not a number; it is ignored."},
     {event_number::budgets_shared, log_level::info, "budgets_shared",
      "The number of instances that share the common budgets changed."},
+    {event_number::path_lost, log_level::warning, "path_lost",
+     "No backend server responds to this instance; requests are forwarded to "
+     "others."},
+    {event_number::path_restored, log_level::info, "path_restored",
+     "A backend server responds again."},
     {event_number::call_may_have_run, log_level::warning, "call_may_have_run",
      "A call ended without a response and may have been executed."},
     {event_number::call_refused, log_level::debug, "call_refused",
@@ -105,6 +110,9 @@
      "A request crashed several servers and is refused by this instance."},
     {event_number::request_released, log_level::info, "request_released",
      "A quarantined request is accepted again."},
+    {event_number::request_forwarded, log_level::info, "request_forwarded",
+     "A request was forwarded to another instance, which has a path to the "
+     "servers."},
 }};
 
 log_level min_level = log_level::info;
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -44,6 +44,8 @@
     server_limit_changed = 1303,
     server_limit_invalid = 1304,
     budgets_shared = 1305,
+    path_lost = 1306,
+    path_restored = 1307,
     call_may_have_run = 1401,
     call_refused = 1402,
     answer_broken_off = 1403,
@@ -56,6 +58,7 @@
     lines_left_out = 1605,
     request_quarantined = 1606,
     request_released = 1607,
+    request_forwarded = 1608,
 };
 
 // Number, severity, name and documentation of an event.
--- a/src/entry/header_names.hpp
+++ b/src/adapters/header_names.hpp
@@ -1,5 +1,5 @@
-#ifndef LACEWINGBEAM_ENTRY_HEADER_NAMES_HPP
-#define LACEWINGBEAM_ENTRY_HEADER_NAMES_HPP
+#ifndef LACEWINGBEAM_ADAPTERS_HEADER_NAMES_HPP
+#define LACEWINGBEAM_ADAPTERS_HEADER_NAMES_HPP
 
 #include <string_view>
 
@@ -13,6 +13,7 @@
 inline constexpr std::string_view timeout_ms = "lacewingbeam-timeout-ms";
 inline constexpr std::string_view verdict = "lacewingbeam-verdict";
 inline constexpr std::string_view forwarded = "lacewingbeam-forwarded";
+inline constexpr std::string_view attempts = "lacewingbeam-attempts";
 inline constexpr std::string_view wrong_owner = "lacewingbeam-wrong-owner";
 inline constexpr std::string_view not_run = "lacewingbeam-not-run";
 inline constexpr std::string_view draining = "lacewingbeam-draining";
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -5,7 +5,6 @@
 #include <boost/random/uniform_real_distribution.hpp>
 #include <cmath>
 #include <tuple>
-#include <utility>
 
 // Choice of a backend server for a request.
 namespace lacewingbeam {
@@ -85,6 +84,10 @@
 
 void request_router::record_outcome(const std::string& server, bool good,
                                     double weight, time_point now) {
+    const auto* known = directory_.find(server);
+    if (!good && known != nullptr && is_path_lost(known->info.service)) {
+        return; // the servers are not at fault
+    }
     auto& entry = entry_of(server);
     const double before = failure_score_of(entry, now);
     entry.failure_score = good ? before * (1 - success_gain)
@@ -202,6 +205,16 @@
             self.send_probes(request, policy, now, out);
         }
     };
+    if (is_path_lost(request.service)) {
+        if (request.forwarded && request.may_have_arrived == 0) {
+            finish(request, not_run{not_run_reason::no_path}, std::nullopt,
+                   out);
+            return;
+        }
+        if (try_forward(request, now, out)) {
+            return;
+        }
+    }
     std::visit(visitor{*this, request, now, out}, options_.policy);
 }
 
@@ -428,9 +441,8 @@
 }
 
 // This instance's share of the connections that a server accepts.
-unsigned request_router::connection_share(const request_entry& request) const {
-    const auto share =
-        request.max_connections / std::max<std::size_t>(1, instances_);
+unsigned request_router::connection_share(unsigned max_connections) const {
+    const auto share = max_connections / std::max<std::size_t>(1, instances_);
     return std::max(min_connections, static_cast<unsigned>(share));
 }
 
@@ -444,13 +456,9 @@
     if (refuse_if_quarantined(request, now, out)) {
         return;
     }
-    const bool is_repeat = request.attempts > 0;
-    if (is_repeat && !std::exchange(request.repeat_reserved, false)) {
+    if (!take_reserved_repeat(request)) {
         return;
     }
-    if (is_repeat) {
-        repeats_of(request.service, now).on_sent();
-    }
     const auto& server = *directory_.find(chosen.id);
     auto& entry = entry_of(chosen.id);
     const auto id = attempt_id{next_attempt_++};
@@ -461,7 +469,7 @@
     action.service = request.service;
     action.address = server.info.address;
     action.time_left = request.deadline - now;
-    action.max_connections = connection_share(request);
+    action.max_connections = connection_share(request.max_connections);
     action.repeatable = request.retry == retry_policy::retryable;
     action.hedge = !request.running_attempts.empty();
     action.load = entry.load.value_or(server_load_sample{});
@@ -474,11 +482,13 @@
     request.recheck_at.reset();
     request.decide_at.reset();
     request.pending_probes.clear();
-    attempts_[id] = {request.id, chosen.id, now, action.load,
-                     current_run_of(chosen.id)};
+    attempts_[id] = {
+        request.id, chosen.id, now, action.load, current_run_of(chosen.id),
+        {},         0};
     request.running_attempts.push_back(id);
     request.tried.push_back(chosen.id);
     ++request.attempts;
+    ++request.may_have_arrived;
     ++entry.in_flight;
     ++entry.sent_since;
     limits_.on_sent(chosen.id, now);
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -104,7 +104,7 @@
         request.pending_probes.push_back(id);
         out.emplace_back(probe_action{
             id, server->info.id, server->info.address, request.health_path,
-            connection_share(request), policy.probe_timeout});
+            connection_share(request.max_connections), policy.probe_timeout});
         ++sent;
     }
     if (sent == 0) {
@@ -125,6 +125,7 @@
         return out;
     }
     const auto server = found->second.server;
+    note_response(server, now, out);
     note_server_alive(server, found->second.sent_at, now, out);
     record_load(server, load, now);
     entry_of(server).next_probe_at = time_point{};
@@ -141,6 +142,14 @@
         return out;
     }
     const auto server = found->second.server;
+    const bool checks_path = !found->second.call;
+    if (failure == probe_failure::refused) {
+        note_response(server, now, out);
+    } else if (failure == probe_failure::unreachable || checks_path) {
+        note_silence(server, now, out);
+    } else {
+        note_doubt(server, now);
+    }
     auto& entry = entry_of(server);
     entry.load.reset();
     if (failure != probe_failure::connection_broken) {
@@ -157,7 +166,8 @@
 void request_router::probe_settled(probe_id id, time_point now, actions& out) {
     const auto probe = probes_.at(id);
     probes_.erase(id);
-    const auto found = requests_.find(probe.call);
+    const auto found =
+        probe.call ? requests_.find(*probe.call) : requests_.end();
     if (found == requests_.end()) {
         return;
     }
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
-#include <utility>
 
 // The life cycle of a request.
 namespace lacewingbeam {
@@ -56,21 +55,6 @@
     }
 }
 
-void request_router::set_instances(std::size_t count, bool all_known,
-                                   time_point now) {
-    instances_ = count;
-    all_instances_known_ = all_known;
-    for (auto& [name, service] : services_) {
-        if (service.repeats) {
-            service.repeats->set_instances(sharing_instances(), now);
-        }
-    }
-}
-
-std::optional<std::size_t> request_router::sharing_instances() const {
-    return all_instances_known_ ? std::optional(instances_) : std::nullopt;
-}
-
 bool request_router::on_limit(std::string_view server,
                               std::optional<double> per_second,
                               time_point now) {
@@ -100,16 +84,6 @@
     return services_[name];
 }
 
-repeat_budget& request_router::repeats_of(const std::string& service,
-                                          time_point now) {
-    auto& repeats = entry_of_service(service).repeats;
-    if (!repeats) {
-        repeats = std::make_unique<repeat_budget>(options_.repeats);
-        repeats->set_instances(sharing_instances(), now);
-    }
-    return *repeats;
-}
-
 bool request_router::can_decide(time_point now) const {
     return directory_.routes_valid_at(now) && directory_.server_count() > 0;
 }
@@ -158,7 +132,9 @@
     entry.max_connections = options.max_connections;
     entry.priority = chosen->priority;
     entry.retry = chosen->retry;
-    entry.max_attempts = std::max(1U, chosen->max_attempts);
+    entry.max_attempts = std::max(
+        1U, std::min(chosen->max_attempts,
+                     request.max_attempts.value_or(chosen->max_attempts)));
     entry.arrived = now;
     auto limit = chosen->time_limit.value_or(default_time_limit);
     if (request.caller_time_left) {
@@ -166,7 +142,10 @@
     }
     entry.deadline = now + limit;
     entry.objective = chosen->objective.value_or(limit / objective_divisor);
-    repeats_of(entry.service, now).on_request(now);
+    entry.forwarded = request.forwarded;
+    if (!request.forwarded) { // the instance that forwards it has counted it
+        repeats_of(entry.service, now).on_request(now);
+    }
     auto& added = requests_[entry.id] = std::move(entry);
     if (limit <= duration::zero()) {
         finish(added, not_run{not_run_reason::deadline_passed}, std::nullopt,
@@ -187,10 +166,17 @@
     }
     const auto attempt = found->second;
     attempts_.erase(found);
-    auto& server = entry_of(attempt.server);
-    server.in_flight -= std::min(1U, server.in_flight);
+    if (attempt.peer.empty()) {
+        auto& server = entry_of(attempt.server);
+        server.in_flight -= std::min(1U, server.in_flight);
+    }
     auto& request = requests_.at(attempt.call);
     std::erase(request.running_attempts, id);
+    if (!attempt.peer.empty()) {
+        on_forward_ended(request, attempt, id, result, now, out);
+        return out;
+    }
+    note_outcome(attempt.server, result, now, out);
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         record_outcome(attempt.server, !answered->server_error, 1, now);
         note_server_alive(attempt.server, attempt.sent_at, now, out);
@@ -219,6 +205,9 @@
     }
     if (const auto* refused = std::get_if<attempt_not_run>(&result)) {
         request.refused_reason = refused->reason;
+        if (refused->reason == not_run_reason::connect_failed) {
+            request.may_have_arrived -= 1;
+        }
         // A refusal weighs less than a failure: a server that is nearly full
         // refuses occasionally, and only one that reports a wrong load refuses
         // every request.
@@ -266,39 +255,16 @@
         (std::min(observed, max_latency_ratio * base_latency) - base_latency);
 }
 
-// Every attempt beyond the first needs a reserved repeat, which `place` sends.
-bool request_router::try_reserve_repeat(request_entry& request,
-                                        time_point now) {
-    if (request.repeat_reserved) {
-        return true;
-    }
-    if (request.attempts >= request.max_attempts || now >= request.deadline) {
-        return false;
-    }
-    if (request.lost_reason && request.retry == retry_policy::at_most_once) {
-        return false;
-    }
-    // The request may be what crashed these servers.
-    if (quarantine_.losses(request.fingerprint) >=
-        request_quarantine::losses_to_suspect) {
-        return false;
-    }
-    request.repeat_reserved = repeats_of(request.service, now).try_reserve(now);
-    return request.repeat_reserved;
-}
-
-void request_router::release_repeat(request_entry& request) {
-    if (std::exchange(request.repeat_reserved, false)) {
-        entry_of_service(request.service).repeats->release();
-    }
-}
-
 void request_router::retry_or_finish(request_entry& request, time_point now,
                                      actions& out) {
     if (try_reserve_repeat(request, now)) {
         start_placement(request, now, out);
         return;
     }
+    // No server got it, but another instance may reach them.
+    if (request.may_have_arrived == 0 && try_forward(request, now, out)) {
+        return;
+    }
     refuse(request, request.refused_reason.value_or(not_run_reason::shed), now,
            out);
 }
@@ -343,8 +309,11 @@
             continue;
         }
         out.emplace_back(cancel_action{attempt});
-        auto& server = entry_of(attempts_.at(attempt).server);
-        server.in_flight -= std::min(1U, server.in_flight);
+        const auto& cancelled = attempts_.at(attempt);
+        if (cancelled.peer.empty()) {
+            auto& server = entry_of(cancelled.server);
+            server.in_flight -= std::min(1U, server.in_flight);
+        }
         attempts_.erase(attempt);
     }
     requests_.erase(found);
@@ -390,7 +359,8 @@
     if (options_.hedge_at <= 0 || request.hedged || request.decide_at ||
         request.retry != retry_policy::retryable ||
         request.running_attempts.size() != 1 ||
-        request.attempts >= request.max_attempts) {
+        std::max(request.attempts, request.may_have_arrived) >=
+            request.max_attempts) {
         return std::nullopt;
     }
     return request.arrived +
@@ -432,12 +402,16 @@
         const auto request_due = due_of(request);
         due = due ? std::min(*due, request_due) : request_due;
     }
+    if (const auto check = path_check_due()) {
+        due = due ? std::min(*due, *check) : *check;
+    }
     return due;
 }
 
 request_router::actions request_router::on_tick(time_point now) {
     actions out;
     submit_early(now, out);
+    check_paths(now, out);
     std::vector<call_id> due;
     for (const auto& [id, request] : requests_) {
         if (due_of(request) <= now) {
@@ -450,7 +424,11 @@
             const bool sent = !request.running_attempts.empty();
             if (sent) {
                 for (const auto attempt : request.running_attempts) {
-                    record_outcome(attempts_.at(attempt).server, false, 1, now);
+                    const auto& server = attempts_.at(attempt).server;
+                    if (!server.empty()) {
+                        note_doubt(server, now);
+                        record_outcome(server, false, 1, now);
+                    }
                 }
                 request.lost_reason = may_have_run_reason::answer_timeout;
             }
--- a/src/decisions/verdict.cpp
+++ b/src/decisions/verdict.cpp
@@ -58,6 +58,8 @@
         return "quarantined";
     case not_run_reason::ticket_content_differs:
         return "ticket_content_differs";
+    case not_run_reason::no_path:
+        return "no_path";
     }
     return "unknown";
 }
@@ -110,6 +112,26 @@
     return text;
 }
 
+std::optional<verdict> parse_verdict(std::string_view text) {
+    if (text == to_string(verdict(completed{}))) {
+        return completed{};
+    }
+    for (int i = 0; i <= static_cast<int>(not_run_reason::no_path); ++i) {
+        const verdict value = not_run{static_cast<not_run_reason>(i)};
+        if (text == to_string(value)) {
+            return value;
+        }
+    }
+    constexpr auto last = may_have_run_reason::server_failed;
+    for (int i = 0; i <= static_cast<int>(last); ++i) {
+        const verdict value = may_have_run{static_cast<may_have_run_reason>(i)};
+        if (text == to_string(value)) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
 bool certainly_not_run(const verdict& value) {
     return std::holds_alternative<not_run>(value);
 }
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -1,6 +1,6 @@
 #include "answers.hpp"
 
-#include "header_names.hpp"
+#include "adapters/header_names.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -1,6 +1,6 @@
+#include "adapters/header_names.hpp"
 #include "answers.hpp"
 #include "call_gateway.hpp"
-#include "header_names.hpp"
 #include "load_report.hpp"
 
 // Attempts of call_gateway at backend servers.
--- a/src/entry/call_forwarding.cpp
+++ b/src/entry/call_forwarding.cpp
@@ -1,6 +1,6 @@
+#include "adapters/forward_token.hpp"
+#include "adapters/header_names.hpp"
 #include "call_gateway.hpp"
-#include "forward_token.hpp"
-#include "header_names.hpp"
 
 // Forwarding of calls to other instances by call_gateway.
 namespace lacewingbeam {
--- a/src/entry/call_gateway.cpp
+++ b/src/entry/call_gateway.cpp
@@ -1,8 +1,8 @@
 #include "call_gateway.hpp"
 
 #include "../adapters/event_log.hpp"
+#include "adapters/header_names.hpp"
 #include "answers.hpp"
-#include "header_names.hpp"
 #include "lacewingbeam/number.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/call_request.cpp
+++ b/src/entry/call_request.cpp
@@ -1,7 +1,7 @@
 #include "call_request.hpp"
 
-#include "forward_token.hpp"
-#include "header_names.hpp"
+#include "adapters/forward_token.hpp"
+#include "adapters/header_names.hpp"
 #include "lacewingbeam/number.hpp"
 
 namespace lacewingbeam {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,7 +1,7 @@
 #include "entry_process.hpp"
 
 #include "../adapters/event_log.hpp"
-#include "header_names.hpp"
+#include "adapters/header_names.hpp"
 #include "lacewingbeam/endpoint.hpp"
 #include "load_report.hpp"
 
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -28,7 +28,9 @@
         return attempt_unknown{*lost, failure.problem ==
                                           exchange_problem::connection_lost};
     }
-    return attempt_not_run{not_run_reason::connect_failed};
+    return attempt_not_run{failure.problem == exchange_problem::pool_exhausted
+                               ? not_run_reason::queue_full
+                               : not_run_reason::connect_failed};
 }
 
 struct outcome_name_visitor {
@@ -84,7 +86,15 @@
     attempt.server = action.server;
     attempt.service = action.service;
     attempt.sent_at = now;
-    const auto id = action.attempt;
+    attempt.pool = &pool_;
+    attempt.exchange = pool_.start(
+        action.address, request,
+        {action.max_connections,
+         action.repeatable ? max_reuse_age_repeatable : max_reuse_age},
+        make_attempt_events(action.attempt));
+}
+
+exchange_events request_gateway::make_attempt_events(attempt_id id) {
     exchange_events events;
     events.head = [this, id](const http_response_head& head) {
         on_head(id, head);
@@ -98,11 +108,7 @@
     events.failed = [this, id](const exchange_failure& failure) {
         on_failed(id, failure);
     };
-    attempt.exchange = pool_.start(
-        action.address, request,
-        {action.max_connections,
-         action.repeatable ? max_reuse_age_repeatable : max_reuse_age},
-        std::move(events));
+    return events;
 }
 
 void request_gateway::execute(const cancel_action& action) {
@@ -110,7 +116,7 @@
     if (found == attempts_.end()) {
         return;
     }
-    pool_.cancel(found->second.exchange);
+    found->second.pool->cancel(found->second.exchange);
     metrics_.count_attempt(found->second.service, "cancelled");
     attempts_.erase(found);
 }
@@ -153,12 +159,15 @@
     }
     if (const auto response_error =
             find_response_error(request->second, head)) {
-        pool_.cancel(attempt.exchange);
+        attempt.pool->cancel(attempt.exchange);
         end_attempt(id, attempt_unknown{may_have_run_reason::answer_malformed},
                     *response_error);
         return;
     }
     attempt.head = head;
+    if (attempt.forwarded) {
+        return; // what it says of the server is for the other instance
+    }
     const auto text = find_header(head.headers, platform_.headers.load);
     const auto load = text ? platform_.parse_load(*text)
                            : std::optional<server_load_sample>();
@@ -203,7 +212,7 @@
     }
     auto& body = found->second.body;
     if (body.size() + chunk.size() > max_response_bytes) {
-        pool_.cancel(found->second.exchange);
+        found->second.pool->cancel(found->second.exchange);
         end_attempt(id, attempt_unknown{may_have_run_reason::answer_malformed},
                     "response is too large");
         return;
@@ -216,6 +225,10 @@
     if (found == attempts_.end()) {
         return;
     }
+    if (found->second.forwarded) {
+        on_forward_end(id);
+        return;
+    }
     const auto& head = found->second.head;
     const bool not_run =
         find_header(head.headers, platform_.headers.not_run).has_value() ||
@@ -306,6 +319,9 @@
         const auto found = probes_.find(id);
         if (found != probes_.end() && failure.bytes_sent) {
             found->second.failure = probe_failure::connection_broken;
+        } else if (found != probes_.end() &&
+                   failure.problem != exchange_problem::pool_exhausted) {
+            found->second.failure = probe_failure::unreachable;
         }
         end_probe(id);
     };
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -1,5 +1,6 @@
 #include "request_gateway.hpp"
 
+#include "adapters/header_names.hpp"
 #include "lacewingbeam/number.hpp"
 
 // The caller side of the request gateway: requests and responses, and execution
@@ -88,9 +89,11 @@
 request_gateway::request_gateway(event_loop& loop,
                                  const platform_binding& platform,
                                  request_router& router, metrics& registry,
-                                 const std::string& source_ip)
+                                 gateway_options options)
     : loop_(loop), platform_(platform), router_(router), metrics_(registry),
-      log_(loop.now()), pool_(loop, make_pool_options(source_ip)) {
+      log_(loop.now()), pool_(loop, make_pool_options(options.source_ip)),
+      peer_pool_(loop, make_pool_options(options.source_ip)),
+      peer_key_(std::move(options.peer_key)) {
     timer_ =
         loop.make_timer([this] { execute_all(router_.on_tick(loop_.now())); });
 }
@@ -98,6 +101,7 @@
 void request_gateway::begin_stop() {
     stopping_ = true;
     pool_.disable_keep_alive();
+    peer_pool_.disable_keep_alive();
 }
 
 void request_gateway::on_directory_confirmed() {
@@ -123,7 +127,10 @@
     for (const auto& field : headers) {
         const bool set_by_router =
             equal_ignoring_case(field.name, platform_.headers.time_left_ms) ||
-            equal_ignoring_case(field.name, platform_.headers.expected_server);
+            equal_ignoring_case(field.name,
+                                platform_.headers.expected_server) ||
+            equal_ignoring_case(field.name, header::forwarded) ||
+            equal_ignoring_case(field.name, header::attempts);
         const bool connection_specific =
             is_hop_by_hop(field.name) ||
             (connection_header &&
@@ -159,7 +166,8 @@
                     {"status", std::to_string(status_bad_request)},
                     {"reason", "body not supported for this method"}},
                    now);
-        reply(pending, status_bad_request, {{"Connection", "close"}}, "");
+        reply(pending, not_run{not_run_reason::bad_request}, status_bad_request,
+              {{"Connection", "close"}}, "");
         remove(requests_.find(id));
         return;
     }
@@ -185,6 +193,13 @@
         parse_time_left(find_header(headers, platform_.headers.time_left_ms));
     request.fingerprint = fingerprint_of(pending.outgoing, request.host);
     pending.fingerprint = request.fingerprint;
+    pending.forwarded = is_forwarded_by_peer(*incoming, headers);
+    if (pending.forwarded) {
+        request.forwarded = true;
+        const auto attempts = find_header(headers, header::attempts);
+        request.max_attempts =
+            attempts ? to_number<unsigned>(*attempts) : std::nullopt;
+    }
     execute_all(router_.submit(request, now));
 }
 
@@ -206,7 +221,8 @@
     header_list headers;
     for (const auto& field : delivered.head.headers) {
         if (!is_hop_by_hop(field.name) &&
-            !equal_ignoring_case(field.name, platform_.headers.load)) {
+            !equal_ignoring_case(field.name, platform_.headers.load) &&
+            !equal_ignoring_case(field.name, header::verdict)) {
             headers.push_back(field);
         }
     }
@@ -220,7 +236,7 @@
                 {"bytes", std::to_string(delivered.body.size())},
                 {"ms", ms_text(now - found->second.arrived)}},
                now);
-    reply(found->second, delivered.head.status, std::move(headers),
+    reply(found->second, completed{}, delivered.head.status, std::move(headers),
           delivered.body);
     remove(found);
 }
@@ -247,7 +263,7 @@
                  action.retry_after ? ms_text(*action.retry_after) : "-"},
                 {"ms", ms_text(now - found->second.arrived)}},
                now);
-    reply(found->second, status, std::move(headers), "");
+    reply(found->second, action.outcome, status, std::move(headers), "");
     remove(found);
 }
 
@@ -278,8 +294,12 @@
     execute_all(router_.release(request, loop_.now()));
 }
 
-void request_gateway::reply(pending_request& request, int status,
-                            header_list headers, std::string_view body) {
+void request_gateway::reply(pending_request& request, const verdict& outcome,
+                            int status, header_list headers,
+                            std::string_view body) {
+    if (request.forwarded) {
+        headers.push_back({std::string(header::verdict), to_string(outcome)});
+    }
     if (stopping_) {
         headers.push_back({"Connection", "close"});
     }
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -18,11 +18,16 @@
 // request router decides.
 namespace lacewingbeam {
 
+struct gateway_options {
+    std::string source_ip; // of connections; empty: chosen by the system
+    std::string peer_key;  // authenticates requests that peers forward
+};
+
 class request_gateway {
 public:
     request_gateway(event_loop& loop, const platform_binding& platform,
                     request_router& router, metrics& registry,
-                    const std::string& source_ip);
+                    gateway_options options);
 
     void on_request(const std::shared_ptr<incoming_request>& incoming);
 
@@ -53,17 +58,20 @@
         request_fingerprint fingerprint = 0;
         std::string service;
         time_point arrived;
+        bool forwarded = false; // by another instance
     };
 
     struct pending_attempt {
         call_id call{};
         std::string server;
         std::string service;
+        connection_pool* pool = nullptr; // that the exchange belongs to
         exchange_id exchange{};
         http_response_head head;
         std::string body;
         std::optional<server_load_sample> load;
         time_point sent_at;
+        bool forwarded = false; // to another instance, named by `server`
     };
 
     struct pending_probe {
@@ -79,6 +87,8 @@
     void execute_all(const request_router::actions& actions);
     void execute(const probe_action& action);
     void execute(const send_action& action);
+    void execute(const forward_action& action);
+    void execute(const path_action& action);
     void execute(const cancel_action& action);
     void execute(const deliver_action& action);
     void execute(const finish_action& action);
@@ -94,14 +104,18 @@
                     bool lifts_if_missing);
     void on_head(attempt_id id, const http_response_head& head);
     void on_body(attempt_id id, std::string_view chunk);
+    exchange_events make_attempt_events(attempt_id id);
+    bool is_forwarded_by_peer(const incoming_request& incoming,
+                              const header_list& headers) const;
+    void on_forward_end(attempt_id id);
     void on_end(attempt_id id);
     void on_failed(attempt_id id, const exchange_failure& failure);
     void end_attempt(attempt_id id, const attempt_outcome& result,
                      std::string_view detail);
     void on_probe_head(probe_id id, const http_response_head& head);
     void end_probe(probe_id id);
-    void reply(pending_request& request, int status, header_list headers,
-               std::string_view body);
+    void reply(pending_request& request, const verdict& outcome, int status,
+               header_list headers, std::string_view body);
     void remove(std::map<call_id, pending_request>::iterator request);
 
     event_loop& loop_;
@@ -110,6 +124,8 @@
     metrics& metrics_;
     request_log log_;
     connection_pool pool_;
+    connection_pool peer_pool_;
+    std::string peer_key_;
     std::map<call_id, pending_request> requests_;
     std::map<attempt_id, pending_attempt> attempts_;
     std::map<probe_id, pending_probe> probes_;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -82,8 +82,9 @@
     follower_->set_seeds(split_list(settings_.peers.seeds));
     router_.emplace(follower_->view(), make_router_options(settings_),
                     seed + 1);
-    gateway_.emplace(loop_, platform_, *router_, metrics_,
-                     settings_.router.source_ip);
+    gateway_.emplace(
+        loop_, platform_, *router_, metrics_,
+        gateway_options{settings_.router.source_ip, settings_.peers.key});
     sync_.emplace(loop_, platform_, *follower_, peer_link_, metrics_,
                   make_sync_options(settings_));
     sync_->confirmed.connect([this] { gateway_->on_directory_confirmed(); });
@@ -190,7 +191,8 @@
              {"active", std::to_string(follower_->members().active_count(now))},
              {"all_known", all_known ? "yes" : "no"}});
     }
-    if (!follower_->knows_peers(now)) {
+    update_forwarding_peers(now);
+    if (!all_known) {
         return;
     }
     std::vector<std::string> peers;
@@ -210,6 +212,17 @@
     known_peers_ = std::move(started);
 }
 
+void router_process::update_forwarding_peers(time_point now) {
+    std::vector<forwarding_peer> peers;
+    for (const auto& peer : follower_->members().members(now)) {
+        if (peer.state == member_state::alive) {
+            peers.push_back(
+                {peer.caller_address, peer.id, peer.failure_domain});
+        }
+    }
+    router_->set_forwarding_peers(std::move(peers));
+}
+
 void router_process::on_directory_changed(const directory::change& change) {
     router_->on_servers_changed(change.servers, loop_.now());
     const auto& view = follower_->view();
@@ -256,6 +269,8 @@
     metrics_.set_gauge(
         "quarantined_requests",
         static_cast<double>(router_->quarantine().refused(now).size()));
+    metrics_.set_gauge("lost_paths",
+                       static_cast<double>(router_->lost_paths()));
     metrics_.set_gauge("reads_store", follower_->is_reading() ? 1 : 0);
     incoming.reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.text());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -33,6 +33,7 @@
     void handle_readiness(incoming_request& incoming);
     void handle_metrics(incoming_request& incoming);
     void update_instances();
+    void update_forwarding_peers(time_point now);
     void check_loop_delay();
     void reload();
     void begin_stop();
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -68,6 +68,8 @@
                          const std::string& how);
     void begin_router_fault(const fault& event);
     void begin_server_fault(const fault& event);
+    bool would_end_service_late(const std::string& id,
+                                const fault& event) const;
     void begin_link_fault(const fault& event, const std::string& control);
     void begin_store_fault(const fault& event);
     void begin_restore(const fault& event);
