Heed servers that say they are leaving or want no requests for a time

A server that leaves may say so only in its responses (Server-Leaving), and one that refuses a request with 503 may want nothing more from this instance for some seconds (Retry-After). Nothing read either, so such servers went on getting requests and probes.

Both are decoded in platform/ and kept by server_notices, for one run of a server: a later one under the same ID is not bound. A leaving server gets neither requests, resends, probes nor checks of the path; it does not depend on the store. A response that a peer passed on names its server to the instance that forwarded the request, so that the notice binds that one too. A paused server counts as full; a service whose servers all want a pause is refused at once, with the time until the first of them takes requests again. LB1301, LB1308, LB1309.

Peers are not told by heartbeats; each instance learns it from its own responses.

Tests: server_notices::* (no network) and two process tests, which failed before the change: requests arrived at the leaving and at the paused server.

--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -12,6 +12,7 @@
 #include "request_quarantine.hpp"
 #include "routing.hpp"
 #include "server_limits.hpp"
+#include "server_notices.hpp"
 #include "verdict.hpp"
 
 #include <map>
@@ -230,6 +231,12 @@
     bool on_limit(std::string_view server, std::optional<double> per_second,
                   time_point now);
 
+    // A response of the server said that it is leaving, or that it wants no
+    // requests for some time. Return true if that is news.
+    bool on_server_leaving(std::string_view server);
+    bool on_server_pause(std::string_view server, duration pause,
+                         time_point now);
+
     // Refuses all new requests, since the instance would exit before they
     // complete.
     void stop_accepting() { stopping_ = true; }
@@ -359,6 +366,9 @@
     double base_latency_of(const request_entry& request);
     std::vector<const known_server*> candidates(const request_entry& request,
                                                 time_point now);
+    bool may_send_to(const std::string& server, time_point now);
+    std::optional<time_point> resume_time(const std::string& service,
+                                          time_point now) const;
     void wait_for_limited_server(request_entry& request, time_point now,
                                  actions& out);
     const std::set<std::string>& subset_of(const std::string& service);
@@ -454,6 +464,7 @@
     std::size_t instances_ = 1;
     bool all_instances_known_ = true;
     server_limits limits_;
+    server_notices notices_;
     request_quarantine quarantine_;
     std::set<request_fingerprint> quarantined_; // as last told by an action
     std::map<std::string, server_entry> servers_;
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<event_description, 41> catalogue{{
+constexpr std::array<event_description, 43> catalogue{{
     {event_number::started, log_level::info, "started",
      "The instance is listening on its ports."},
     {event_number::stopping, log_level::info, "stopping",
@@ -81,6 +81,11 @@
      "others."},
     {event_number::path_restored, log_level::info, "path_restored",
      "A backend server responds again."},
+    {event_number::server_paused, log_level::info, "server_paused",
+     "A backend server refused a request and wants no others for some time."},
+    {event_number::server_pause_invalid, log_level::warning,
+     "server_pause_invalid",
+     "A backend server named a pause that is not a number; it is ignored."},
     {event_number::call_may_have_run, log_level::warning, "call_may_have_run",
      "A call ended without a response and may have been executed."},
     {event_number::call_refused, log_level::debug, "call_refused",
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -46,6 +46,8 @@
     budgets_shared = 1305,
     path_lost = 1306,
     path_restored = 1307,
+    server_paused = 1308,
+    server_pause_invalid = 1309,
     call_may_have_run = 1401,
     call_refused = 1402,
     answer_broken_off = 1403,
--- a/src/adapters/header_names.hpp
+++ b/src/adapters/header_names.hpp
@@ -13,6 +13,7 @@
 inline constexpr std::string_view timeout_ms = "lacewingbeam-timeout-ms";
 inline constexpr std::string_view verdict = "lacewingbeam-verdict";
 inline constexpr std::string_view forwarded = "lacewingbeam-forwarded";
+inline constexpr std::string_view server = "lacewingbeam-server";
 inline constexpr std::string_view attempts = "lacewingbeam-attempts";
 inline constexpr std::string_view wrong_owner = "lacewingbeam-wrong-owner";
 inline constexpr std::string_view not_run = "lacewingbeam-not-run";
--- a/src/decisions/placing/request_paths.cpp
+++ b/src/decisions/placing/request_paths.cpp
@@ -159,6 +159,9 @@
 void request_router::send_path_check(const std::string& service, time_point now,
                                      actions& out) {
     auto servers = directory_.available(service);
+    std::erase_if(servers, [&](const known_server* server) {
+        return !may_send_to(server->info.id, now);
+    });
     const auto* table = directory_.routing();
     const auto& path = entry_of_service(service).path;
     const auto others = std::partition(
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -69,6 +69,7 @@
             continue;
         }
         limits_.forget(id);
+        notices_.forget(id);
         if (found != servers_.end() && found->second.in_flight == 0) {
             servers_.erase(found);
         }
@@ -170,7 +171,7 @@
     std::erase_if(found, [&](const known_server* server) {
         const bool tried = std::find(request.tried.begin(), request.tried.end(),
                                      server->info.id) != request.tried.end();
-        return tried || !limits_.may_send(server->info.id, now);
+        return tried || !may_send_to(server->info.id, now);
     });
     // A waiting request found its subset full and considers all servers.
     if (found.size() > options_.subset_size && !request.waiting) {
@@ -250,7 +251,7 @@
     if (server == nullptr || server->info.leaving) {
         return;
     }
-    while (limits_.may_send(id, now)) {
+    while (may_send_to(id, now)) {
         request_entry* best = nullptr;
         for (auto& [call, request] : requests_) {
             const bool fits =
@@ -403,26 +404,6 @@
     place(request, best, count, now, out);
 }
 
-// Handles a request that no server may be sent. It waits if that is due to
-// limits, which let one more request through after some time.
-void request_router::wait_for_limited_server(request_entry& request,
-                                             time_point now, actions& out) {
-    const auto servers = directory_.available(request.service);
-    const bool limited = std::any_of(
-        servers.begin(), servers.end(), [&](const known_server* server) {
-            return !limits_.may_send(server->info.id, now);
-        });
-    const double objective_left_ms =
-        to_ms(request.arrived + request.objective - now);
-    if (limited && objective_left_ms > base_latency_of(request)) {
-        wait_for_slot(request, now, out);
-        return;
-    }
-    const auto reason = limited ? not_run_reason::queue_full
-                                : not_run_reason::no_backend_server;
-    refuse(request, request.refused_reason.value_or(reason), now, out);
-}
-
 // Keeps the request until a slot is free. A load report in a response may place
 // it earlier; otherwise servers are probed again at recheck_at.
 void request_router::wait_for_slot(request_entry& request, time_point now,
--- a/src/decisions/placing/request_refusing.cpp
+++ b/src/decisions/placing/request_refusing.cpp
@@ -3,9 +3,78 @@
 #include <algorithm>
 #include <iterator>
 
-// Requests that crash the servers that run them.
+// Requests that crash the servers that run them, and servers that want none.
 namespace lacewingbeam {
 
+namespace {
+
+// Longer pauses are taken for a mistake.
+constexpr duration max_pause = std::chrono::hours(1);
+
+} // namespace
+
+bool request_router::on_server_leaving(std::string_view server) {
+    return notices_.on_leaving(server, current_run_of(std::string(server)));
+}
+
+bool request_router::on_server_pause(std::string_view server, duration pause,
+                                     time_point now) {
+    return notices_.on_pause(server, current_run_of(std::string(server)),
+                             now + std::min(pause, max_pause), now);
+}
+
+bool request_router::may_send_to(const std::string& server, time_point now) {
+    return limits_.may_send(server, now) &&
+           (!notices_.has_notice(server) ||
+            notices_.may_send(server, current_run_of(server), now));
+}
+
+// Returns when the first server may get requests again, if all of them are
+// leaving or asked for a pause.
+std::optional<time_point>
+request_router::resume_time(const std::string& service, time_point now) const {
+    std::optional<time_point> first;
+    for (const auto* server : directory_.available(service)) {
+        const auto run = current_run_of(server->info.id);
+        if (notices_.may_send(server->info.id, run, now)) {
+            return std::nullopt;
+        }
+        if (const auto until =
+                notices_.paused_until(server->info.id, run, now)) {
+            first = std::min(first.value_or(*until), *until);
+        }
+    }
+    return first;
+}
+
+// Handles a request that no server may be sent. It waits if that is due to
+// limits, which let one more request through after some time.
+void request_router::wait_for_limited_server(request_entry& request,
+                                             time_point now, actions& out) {
+    const auto resume = resume_time(request.service, now);
+    if (resume && !request.lost_reason) {
+        finish(request,
+               not_run{
+                   request.refused_reason.value_or(not_run_reason::queue_full)},
+               *resume - now, out);
+        return;
+    }
+    const auto servers = directory_.available(request.service);
+    const bool limited = std::any_of(
+        servers.begin(), servers.end(), [&](const known_server* server) {
+            return !limits_.may_send(server->info.id, now);
+        });
+    const double objective_left_ms =
+        to_ms(request.arrived + request.objective - now);
+    if (limited && objective_left_ms > base_latency_of(request)) {
+        wait_for_slot(request, now, out);
+        return;
+    }
+    const auto reason = limited ? not_run_reason::queue_full
+                                : not_run_reason::no_backend_server;
+    refuse(request, request.refused_reason.value_or(reason), now, out);
+}
+
 server_fingerprint
 request_router::current_run_of(const std::string& server) const {
     const auto* known = directory_.find(server);
--- a/src/router/platform_binding.hpp
+++ b/src/router/platform_binding.hpp
@@ -24,6 +24,8 @@
     std::string not_run;         // set if the server did not run the request
     std::string load;            // parsed by parse_load
     std::string request_limit;   // parsed by parse_request_limit
+    std::string leaving;         // parsed by parse_leaving
+    std::string pause;           // parsed by parse_pause, in a refusal
     std::string store_era; // number of restores, in all responses of the store
 };
 
@@ -63,6 +65,14 @@
     // Parses the requests per second that a server accepts from all instances.
     // Returns nullopt if the text is not a finite number of at least zero.
     std::function<std::optional<double>(std::string_view)> parse_request_limit;
+
+    // Returns true if the server that responds is leaving.
+    std::function<bool(std::string_view)> parse_leaving;
+
+    // Parses the time for which a server that refused a request wants no others
+    // from this instance. Returns nullopt if the text is not a finite number of
+    // at least zero.
+    std::function<std::optional<duration>(std::string_view)> parse_pause;
 };
 
 } // namespace lacewingbeam
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -166,8 +166,10 @@
     }
     attempt.head = head;
     if (attempt.forwarded) {
-        return; // what it says of the server is for the other instance
+        note_forwarded_notices(head);
+        return;
     }
+    note_server_notices(attempt.server, head);
     const auto text = find_header(head.headers, platform_.headers.load);
     const auto load = text ? platform_.parse_load(*text)
                            : std::optional<server_load_sample>();
@@ -179,32 +181,6 @@
     note_limit(attempt.server, head, success);
 }
 
-// A successful response to a request without a limit lifts it. Others, such as
-// those to probes, may lack the header.
-void request_gateway::note_limit(const std::string& server,
-                                 const http_response_head& head,
-                                 bool lifts_if_missing) {
-    const auto text =
-        find_header(head.headers, platform_.headers.request_limit);
-    const auto limit =
-        text ? platform_.parse_request_limit(*text) : std::optional<double>();
-    if (text && !limit) {
-        log_.write(event_number::server_limit_invalid,
-                   {{"server", server}, {"limit", std::string(*text)}},
-                   loop_.now());
-        return;
-    }
-    if (!limit && !lifts_if_missing) {
-        return;
-    }
-    if (router_.on_limit(server, limit, loop_.now())) {
-        log_.write(event_number::server_limit_changed,
-                   {{"server", server},
-                    {"limit", limit ? decimal_text(*limit) : "none"}},
-                   loop_.now());
-    }
-}
-
 void request_gateway::on_body(attempt_id id, std::string_view chunk) {
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) {
@@ -359,6 +335,7 @@
         return;
     }
     note_limit(probe.server, head, false);
+    note_server_notices(probe.server, head);
     if (head.status != status_ok) {
         probe.failure = probe_failure::refused;
         return;
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -222,11 +222,13 @@
     for (const auto& field : delivered.head.headers) {
         if (!is_hop_by_hop(field.name) &&
             !equal_ignoring_case(field.name, platform_.headers.load) &&
-            !equal_ignoring_case(field.name, header::verdict)) {
+            !equal_ignoring_case(field.name, header::verdict) &&
+            !equal_ignoring_case(field.name, header::server)) {
             headers.push_back(field);
         }
     }
     const auto now = loop_.now();
+    found->second.served_by = delivered.server;
     metrics_.count_call(delivered.service, completed{},
                         now - found->second.arrived);
     log_.write(event_number::request_finished,
@@ -299,6 +301,7 @@
                             std::string_view body) {
     if (request.forwarded) {
         headers.push_back({std::string(header::verdict), to_string(outcome)});
+        headers.push_back({std::string(header::server), request.served_by});
     }
     if (stopping_) {
         headers.push_back({"Connection", "close"});
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -59,6 +59,7 @@
         std::string service;
         time_point arrived;
         bool forwarded = false; // by another instance
+        std::string served_by;  // server, once its response is delivered
     };
 
     struct pending_attempt {
@@ -102,6 +103,10 @@
                         const http_response_head& head) const;
     void note_limit(const std::string& server, const http_response_head& head,
                     bool lifts_if_missing);
+    void note_server_notices(const std::string& server,
+                             const http_response_head& head);
+    void note_forwarded_notices(const http_response_head& head);
+    void note_leaving(const std::string& server, std::string_view told_by);
     void on_head(attempt_id id, const http_response_head& head);
     void on_body(attempt_id id, std::string_view chunk);
     exchange_events make_attempt_events(attempt_id id);
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -114,6 +114,19 @@
     }
 }
 
+Test(notices, pause_and_leaving_are_parsed) {
+    cr_assert(parse_pause("2.5") == duration(std::chrono::milliseconds(2500)));
+    cr_assert(parse_pause(" 0 ") == duration::zero());
+    cr_assert(parse_pause("1e300").has_value());
+    for (const auto* text :
+         {"", "-1", "nan", "inf", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        cr_assert_not(parse_pause(text).has_value(), "%s", text);
+    }
+    cr_assert(parse_leaving("1"));
+    cr_assert_not(parse_leaving("0"));
+    cr_assert_not(parse_leaving(""));
+}
+
 Test(registration, server_without_start_time_is_used) {
     auto text = registration;
     text.replace(text.find("\"born\""), 6, "\"note\"");
--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -32,15 +32,19 @@
     unsigned queue = 3;
     int work_ms = 20;
     bool leaving = false;
-    bool refuse_all = false; // although it reports free slots
-    double refuse_share = 0; // of the requests, likewise
-    std::string limit;       // named in each response, unless empty
+    bool refuse_all = false;   // although it reports free slots
+    double refuse_share = 0;   // of the requests, likewise
+    std::string limit;         // named in each response, unless empty
+    bool says_leaving = false; // in each response, not in the registration
+    std::string pause;         // named in each refusal, unless empty
     // The number of coming responses with each fault:
     int lose_answers = 0;     // connection closed after the run
     int extra_answers = 0;    // followed by a second response
     int foreign_answers = 0;  // with another request's ID
     int encoded_answers = 0;  // with an unrequested content encoding
     int unsigned_answers = 0; // without a signature
+    int stale_refusals = 0;   // an earlier refusal, while the request runs
+    bool stale_refusals_have_id = true;
 };
 
 struct job {
@@ -113,6 +117,9 @@
     if (!behaviour_.limit.empty()) {
         request->add_header("Server-Limit", behaviour_.limit);
     }
+    if (behaviour_.says_leaving) {
+        request->add_header("Server-Leaving", "1");
+    }
 }
 
 void backend_server::reply_to_health_check(const request_ptr& request) {
@@ -132,6 +139,13 @@
         behaviour_.refuse_share =
             body.value("refuse_share", behaviour_.refuse_share);
         behaviour_.limit = body.value("limit", behaviour_.limit);
+        behaviour_.says_leaving =
+            body.value("says_leaving", behaviour_.says_leaving);
+        behaviour_.pause = body.value("pause", behaviour_.pause);
+        behaviour_.stale_refusals =
+            body.value("stale_refusals", behaviour_.stale_refusals);
+        behaviour_.stale_refusals_have_id = body.value(
+            "stale_refusals_have_id", behaviour_.stale_refusals_have_id);
         behaviour_.lose_answers =
             body.value("lose_answers", behaviour_.lose_answers);
         behaviour_.extra_answers =
@@ -149,6 +163,9 @@
 void backend_server::refuse(const request_ptr& request, int status,
                             const std::string& reason) const {
     request->add_header("X-Not-Executed", reason);
+    if (status == unavailable && !behaviour_.pause.empty()) {
+        request->add_header("Retry-After", behaviour_.pause);
+    }
     request->add_header("X-Request-Id", request->header("X-Request-Id"));
     add_load(request);
     request->reply(status, reason);
@@ -233,6 +250,14 @@
         request->close_connection();
         return;
     }
+    if (consume_one(behaviour_.stale_refusals)) {
+        request->add_header("X-Not-Executed", "full");
+        if (behaviour_.stale_refusals_have_id) {
+            request->add_header("X-Request-Id", "earlier");
+        }
+        request->reply(unavailable, "full");
+        return;
+    }
     const bool foreign = consume_one(behaviour_.foreign_answers);
     request->add_header("X-Request-Id", foreign ? "another" : item->request_id);
     if (!consume_one(behaviour_.unsigned_answers)) {
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -97,6 +97,44 @@
     cr_assert_leq(arrived, allowed, "%u, allowed %f", arrived, allowed);
 }
 
+// Regression test: a leaving server that had said so only in its responses got
+// further requests.
+Test(router_process, server_that_says_it_is_leaving_gets_no_more_requests) {
+    cluster->add_server("one", "s2");
+    cr_assert(eventually([] {
+        return cluster->log_of(router()).find("servers=2") != std::string::npos;
+    }));
+    set_behaviour("s1", {{"says_leaving", true}});
+    int tries = 0;
+    cr_assert(eventually([&] {
+        send_request(get_request("/safe/x", "any" + std::to_string(tries++)));
+        return cluster->log_of(router()).find("server_leaving server=s1") !=
+               std::string::npos;
+    }));
+    for (int i = 0; i < 30; ++i) {
+        const auto id = "after-" + std::to_string(i);
+        assert_complete(send_request(get_request("/safe/x", id)), id, 300);
+    }
+    cr_assert_eq(count_lines("s1", "arrived after"), 0);
+}
+
+// Regression test: a server that had asked for a pause got further requests.
+Test(router_process, server_that_asks_for_a_pause_gets_no_more_requests) {
+    set_behaviour("s1", {{"refuse_all", true}, {"pause", "600.5"}});
+    cr_assert_eq(send_request(get_request("/safe/x", "first")).status, 503);
+    for (int i = 0; i < 10; ++i) {
+        const auto response =
+            send_request(get_request("/safe/x", "paused" + std::to_string(i)));
+        cr_assert_eq(response.status, 503);
+        cr_assert_gt(std::stod(response.header("retry-after")), 500);
+    }
+    cr_assert_eq(count_lines("s1", "arrived paused"), 0);
+    cluster->add_server("one", "s2");
+    cr_assert(eventually([] {
+        return send_request(get_request("/safe/x", "other")).status == 200;
+    }));
+}
+
 Test(router_process, response_with_length_or_in_chunks_is_complete) {
     assert_complete(send_request(get_request("/safe/x?bytes=100000", "a")), "a",
                     100000);
