Take a refusal without the request's ID for no proof that it did not run

Operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run although it had. With the ID of an earlier request the response was discarded here; without any ID it was believed (503 to the caller of a request that ran). A refusal now proves something only if it bears the request's own ID.

Test: router_process::repeated_refusal_does_not_deny_that_a_request_ran, which failed before for the refusal without an ID.

--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -206,9 +206,13 @@
         return;
     }
     const auto& head = found->second.head;
+    // Without the request's ID, it may be an earlier refusal sent once more.
+    const bool is_own =
+        find_header(head.headers, platform_.headers.request_id).has_value();
     const bool not_run =
-        find_header(head.headers, platform_.headers.not_run).has_value() ||
-        head.status == status_misdirected;
+        is_own &&
+        (find_header(head.headers, platform_.headers.not_run).has_value() ||
+         head.status == status_misdirected);
     if (not_run) {
         const auto reason = head.status == status_misdirected
                                 ? not_run_reason::draining
--- a/test/users_platform/router_process_test.cpp
+++ b/test/users_platform/router_process_test.cpp
@@ -135,6 +135,20 @@
     }));
 }
 
+// Regression test: a server wrote an earlier refusal again on a kept
+// connection, and the caller of a request that ran was told that it had not.
+Test(router_process, repeated_refusal_does_not_deny_that_a_request_ran) {
+    for (const bool has_id : {true, false}) {
+        const std::string id = has_id ? "with-id" : "without-id";
+        set_behaviour(
+            "s1", {{"stale_refusals", 1}, {"stale_refusals_have_id", has_id}});
+        const auto response = send_request(post_request("/once/x", id));
+        cr_assert_eq(response.status, 502, "%s: %d", id.c_str(),
+                     response.status);
+        cr_assert_eq(count_lines("s1", "run " + id), 1);
+    }
+}
+
 Test(router_process, response_with_length_or_in_chunks_is_complete) {
     assert_complete(send_request(get_request("/safe/x?bytes=100000", "a")), "a",
                     100000);
