--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -114,6 +114,47 @@
     }
 }
 
+// Operators of similar systems: one odd entry ended the processes that read the
+// list, or they stopped following it.
+Test(registration, odd_entry_names_no_server_and_leaves_the_others) {
+    const std::string deep =
+        std::string(200000, '[') + std::string(200000, ']');
+    const std::vector<std::pair<std::string, std::string>> replacements{
+        {"3,", "1e400,"},
+        {"3,", "18446744073709551617,"},
+        {"3,", "18446744073709551615,"},
+        {"3,", "4294967297,"},
+        {"3,", deep + ","},
+        {"10.128.0.9:8080", "10.128.0.9:99999"},
+        {"10.128.0.9:8080", "10.128.0.9:0"},
+        {"10.128.0.9:8080", "10.128.0.9:18446744073709551617"},
+        {"\"coldLeftMs\":500", "\"coldLeftMs\":1e300"},
+        {"\"coldLeftMs\":500", "\"coldLeftMs\":-1e300"},
+        {"\"coldLeftMs\":500", "\"coldLeftMs\":" + deep},
+        {"1790000000000", "99999999999999999999999"},
+        {"\"v1\"", deep}};
+    for (const auto& [from, to] : replacements) {
+        auto text = registration;
+        text.replace(text.find(from), from.size(), to);
+        cr_expect_not(is_usable(text), "%s", to.substr(0, 40).c_str());
+    }
+    cr_assert_not(is_usable(deep));
+    cr_assert_not(is_usable(std::string(200000, '[')));
+    auto extended = registration;
+    extended.insert(1, "\"note\":" + deep + ",");
+    cr_assert(is_usable(extended)); // fields that are not known are ignored
+    auto page = nlohmann::json::parse(make_page("i-1", registration));
+    auto odd = page["rows"][0];
+    odd["key"] = "i-0";
+    odd["value"] = 7;
+    page["rows"].insert(page["rows"].begin(), odd);
+    const auto response =
+        parse_response(store_table::servers, false, 0, page.dump());
+    cr_assert_eq(response.page.rows.size(), 2);
+    cr_assert(response.page.rows[0].deleted);
+    cr_assert_not(response.page.rows[1].deleted);
+}
+
 Test(notices, pause_and_leaving_are_parsed) {
     cr_assert(parse_pause("2.5") == duration(std::chrono::milliseconds(2500)));
     cr_assert(parse_pause(" 0 ") == duration::zero());
