Share servers' limits among all instances that may be running

Shares are now given to the addresses that count for the budgets: those heard of in 5 minutes. The share of an instance that is gone for good stays unused for as long. Probes and connections have used the same count since the budgets do.

--- a/include/lacewingbeam/membership.hpp
+++ b/include/lacewingbeam/membership.hpp
@@ -86,7 +86,11 @@
     // within share_hold.
     std::size_t sharing_count(time_point now) const;
 
-    // The same without what peers have counted; told to them.
+    // Returns their addresses without this one's, as far as this instance knows
+    // them.
+    std::vector<std::string> sharing_addresses(time_point now) const;
+
+    // The same count without what peers have counted; told to them.
     std::size_t own_sharing_count(time_point now) const;
 
     // A peer told its own_sharing_count.
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -205,9 +205,14 @@
     // them are known. Until they are, the slack of the repeats is not used.
     void set_instances(std::size_t count, bool all_known, time_point now);
 
-    // Sets the instances that share the limits that servers name.
+    // Sets the peers that are told of requests that crash servers.
     void set_peers(std::string own, std::vector<std::string> peers) {
-        quarantine_.set_instances(own, peers);
+        quarantine_.set_instances(std::move(own), std::move(peers));
+    }
+
+    // Sets the instances that share the limits that servers name, including
+    // those that may be running unseen behind a partition.
+    void set_limit_sharers(std::string own, std::vector<std::string> peers) {
         limits_.set_instances(std::move(own), std::move(peers));
     }
 
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -209,11 +209,18 @@
     }
 }
 
+std::vector<std::string> membership::sharing_addresses(time_point now) const {
+    std::vector<std::string> addresses;
+    for (const auto& [address, known] : sharers_) {
+        if (is_sharing(known, now)) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::size_t membership::own_sharing_count(time_point now) const {
-    return 1 + static_cast<std::size_t>(std::count_if(
-                   sharers_.begin(), sharers_.end(), [&](const auto& item) {
-                       return is_sharing(item.second, now);
-                   }));
+    return 1 + sharing_addresses(now).size();
 }
 
 std::size_t membership::sharing_count(time_point now) const {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -204,6 +204,8 @@
         }
     }
     router_->set_peers(settings_.router.peers, std::move(peers));
+    router_->set_limit_sharers(settings_.router.peers,
+                               follower_->members().sharing_addresses(now));
     for (const auto& peer : follower_->members().members(now)) {
         if (started.contains(peer.id) && !known_peers_.contains(peer.id)) {
             gateway_->on_peer_started(peer.peer_address);
--- a/test/unit/shared_budget_test.cpp
+++ b/test/unit/shared_budget_test.cpp
@@ -176,6 +176,46 @@
     }
 }
 
+// Regression test: each side of a partition used the whole limit of a server
+// once the other side was forgotten.
+Test(shared_budget, sides_of_a_long_partition_keep_within_a_servers_limit) {
+    constexpr std::size_t instances = 12;
+    constexpr double limit = 10; // requests per second
+    simulated_cluster cluster(instances, 0.01);
+    cluster.run_until(start + seconds(10));
+    std::vector<unsigned> sides;
+    for (std::size_t i = 0; i < instances; ++i) {
+        sides.push_back(i % 2);
+    }
+    cluster.split(sides);
+    cluster.run_until(cluster.now + seconds(40));
+    std::vector<server_limits> limits;
+    for (std::size_t i = 0; i < instances; ++i) {
+        auto& added = limits.emplace_back(i + 1);
+        const auto& members = cluster.follower(i).members();
+        added.set_instances(address_of(i),
+                            members.sharing_addresses(cluster.now));
+        added.on_named("s", limit, cluster.now);
+    }
+    std::size_t sent = 0;
+    constexpr int window_s = 10;
+    const auto from = cluster.now + seconds(2);
+    for (auto now = from; now < from + seconds(window_s);
+         now += milliseconds(10)) {
+        for (auto& item : limits) {
+            if (item.may_send("s", now)) {
+                item.on_sent("s", now);
+                ++sent;
+            }
+        }
+    }
+    // The operators' bound is half more than the limit, and a few.
+    cr_assert_leq(static_cast<double>(sent), 1.5 * limit * window_s, "%zu",
+                  sent);
+    cr_assert_geq(static_cast<double>(sent), 0.5 * limit * window_s, "%zu",
+                  sent);
+}
+
 // In a service that refuses most requests, the budget is what callers live on.
 Test(shared_budget, shedding_service_gets_most_of_the_repeats_allowed) {
     shedding_options options;
