Remember that a server is leaving when its registration lapses

Registrations lapse while the store is away and are back soon after. The notice that a server had given of its leaving was forgotten with its row, so the same run of the server got requests again once the row was back.

Test: server_notices::leaving_server_whose_registration_lapses_stays_unused, which failed before.

--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -238,7 +238,7 @@
 
     // A response of the server said that it is leaving, or that it wants no
     // requests for some time. Return true if that is news.
-    bool on_server_leaving(std::string_view server);
+    bool on_server_leaving(std::string_view server, time_point now);
     bool on_server_pause(std::string_view server, duration pause,
                          time_point now);
 
@@ -322,9 +322,8 @@
         time_point arrived;
         time_point deadline;
         unsigned attempts = 0;
-        unsigned may_have_arrived =
-            0;                  // attempts that may have reached a server
-        bool forwarded = false; // by another instance
+        unsigned may_have_arrived = 0; // attempts, at a server
+        bool forwarded = false;        // by another instance
         std::vector<std::string> tried_peers;
         unsigned priority = 0;
         bool hedged = false;
--- a/include/lacewingbeam/server_notices.hpp
+++ b/include/lacewingbeam/server_notices.hpp
@@ -18,13 +18,12 @@
 class server_notices {
 public:
     // Return true if the notice is news.
-    bool on_leaving(std::string_view server, server_fingerprint run);
+    bool on_leaving(std::string_view server, server_fingerprint run,
+                    time_point now);
     bool on_pause(std::string_view server, server_fingerprint run,
                   time_point until, time_point now);
 
-    // The server is gone.
-    void forget(std::string_view server);
-
+    // Returns true if there is a notice of any run of the server.
     bool has_notice(std::string_view server) const;
 
     // Returns true if this run of the server may get a request.
@@ -41,12 +40,16 @@
     struct notice {
         server_fingerprint run = 0;
         bool leaving = false;
+        time_point told_at; // that it is leaving
         time_point paused_until;
     };
 
     notice& notice_of(std::string_view server, server_fingerprint run);
     const notice* find(std::string_view server, server_fingerprint run) const;
 
+    void drop_old(time_point now);
+
+    // Kept when a server's registration lapses, which may be back.
     std::map<std::string, notice, std::less<>> notices_;
 };
 
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -69,7 +69,6 @@
             continue;
         }
         limits_.forget(id);
-        notices_.forget(id);
         if (found != servers_.end() && found->second.in_flight == 0) {
             servers_.erase(found);
         }
--- a/src/decisions/placing/request_refusing.cpp
+++ b/src/decisions/placing/request_refusing.cpp
@@ -13,8 +13,10 @@
 
 } // namespace
 
-bool request_router::on_server_leaving(std::string_view server) {
-    return notices_.on_leaving(server, current_run_of(std::string(server)));
+bool request_router::on_server_leaving(std::string_view server,
+                                       time_point now) {
+    return notices_.on_leaving(server, current_run_of(std::string(server)),
+                               now);
 }
 
 bool request_router::on_server_pause(std::string_view server, duration pause,
--- a/src/router/server_notices.cpp
+++ b/src/router/server_notices.cpp
@@ -72,7 +72,7 @@
 
 void request_gateway::note_leaving(const std::string& server,
                                    std::string_view told_by) {
-    if (router_.on_server_leaving(server)) {
+    if (router_.on_server_leaving(server, loop_.now())) {
         log_event(event_number::server_leaving,
                   {{"server", server}, {"told_by", std::string(told_by)}});
     }
--- a/test/unit/server_notices_test.cpp
+++ b/test/unit/server_notices_test.cpp
@@ -32,8 +32,8 @@
 
 Test(server_notices, leaving_server_gets_neither_requests_nor_probes) {
     router_fixture fixture({.servers = 2, .slots = 6});
-    cr_assert(fixture.router.on_server_leaving("s0"));
-    cr_assert_not(fixture.router.on_server_leaving("s0"));
+    cr_assert(fixture.router.on_server_leaving("s0", fixture.now));
+    cr_assert_not(fixture.router.on_server_leaving("s0", fixture.now));
     for (const auto& probe :
          router_fixture::pick<probe_action>(fixture.submit(1))) {
         cr_assert_eq(probe.server, "s1");
@@ -41,10 +41,30 @@
     cr_assert(servers_of(fixture, 20) == std::set<std::string>{"s1"});
 }
 
+// Regression test: the notice was forgotten when the server's registration
+// lapsed, and the server got requests again once it was back.
+Test(server_notices, leaving_server_whose_registration_lapses_stays_unused) {
+    router_fixture fixture({.servers = 2, .slots = 6});
+    fixture.router.on_server_leaving("s0", fixture.now);
+    auto row = *fixture.known.find_row("server/s0");
+    const std::vector<std::string> changed{"s0"};
+    row.version = 100;
+    row.deleted = true;
+    fixture.known.apply(std::vector<raw_row>{row}, fixture.now);
+    fixture.router.on_servers_changed(changed, fixture.now);
+    cr_assert_eq(fixture.known.available("svc").size(), 1);
+    row.version = 101;
+    row.deleted = false;
+    fixture.known.apply(std::vector<raw_row>{row}, fixture.now);
+    fixture.router.on_servers_changed(changed, fixture.now);
+    cr_assert_eq(fixture.known.available("svc").size(), 2);
+    cr_assert(servers_of(fixture, 20) == std::set<std::string>{"s1"});
+}
+
 Test(server_notices, later_run_of_a_server_is_not_bound) {
     server_notices notices;
-    notices.on_leaving("s", 1);
     const time_point now{seconds(1)};
+    notices.on_leaving("s", 1, now);
     cr_assert_not(notices.may_send("s", 1, now));
     cr_assert(notices.may_send("s", 2, now));
 }
--- a/test/users_platform/path_loss_test.cpp
+++ b/test/users_platform/path_loss_test.cpp
@@ -127,6 +127,30 @@
     cr_assert_geq(count_served_without_path("refuse", "/once/"), 18);
 }
 
+Test(path_loss, caller_that_leaves_cancels_through_the_other_instance) {
+    cut_paths(0, "refuse");
+    int tries = 0;
+    cr_assert(eventually([&] {
+        return call(0, "/safe/x", "warm-" + std::to_string(tries++)).status ==
+               200;
+    }));
+    http_request request{router(0).callers,
+                         "GET",
+                         "/safe/x?work=5000",
+                         {{"Host", "callers.example"},
+                          {"X-Request-Id", "leaver"},
+                          {"X-Deadline-Ms", "2000"}}};
+    request.timeout = std::chrono::milliseconds(600);
+    cr_assert_eq(send_request(request).status, 0);
+    const auto left_at = [&](std::size_t number) {
+        const auto log = cluster->log_of(router(number));
+        return log.find("caller_gone id=leaver") != std::string::npos;
+    };
+    cr_assert(eventually([&] { return left_at(0); }));
+    cr_assert(eventually([&] { return left_at(1) || left_at(2); }));
+    cr_assert_leq(runs_of("leaver"), 2);
+}
+
 Test(path_loss, no_new_connections_to_any_server_callers_are_served) {
     cr_assert_geq(count_served_without_path("refuse_new", "/safe/"), 18);
     cut_paths(0, "none");
