Divide probes and connections by the active instances again

Change: only repeats and servers' limits, which must hold in each window, are divided by the instances that may be running.

--- a/include/lacewingbeam/directory_follower.hpp
+++ b/include/lacewingbeam/directory_follower.hpp
@@ -140,11 +140,15 @@
     const directory& view() const { return directory_; }
     const membership& members() const { return members_; }
 
-    // Returns the number of instances that share common limits, including this
-    // one. During peer discovery after the start, it is at least
-    // assumed_instances_at_start.
+    // Returns the number of active instances, including this one. During peer
+    // discovery after the start, it is at least assumed_instances_at_start.
     std::size_t estimated_instance_count(time_point now) const;
 
+    // Returns the number of instances that may use shares of a limit which must
+    // hold at any moment, including this one and those that may be running
+    // unseen. During peer discovery, it is at least assumed_instances_at_start.
+    std::size_t sharing_instance_count(time_point now) const;
+
     // Returns true once heartbeats of most peers have had the time to arrive.
     bool knows_peers(time_point now) const {
         return now - started_at_ >= peer_discovery_period;
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -201,9 +201,13 @@
     // in progress and the counts of budgets are kept.
     void reconfigure(router_options options);
 
-    // Sets the number of instances that share the budgets, and whether all of
-    // them are known. Until they are, the slack of the repeats is not used.
-    void set_instances(std::size_t count, bool all_known, time_point now);
+    // Sets the number of instances that share the budget of repeats, and
+    // whether all of them are known. Until they are, the slack is not used.
+    void set_sharing_instances(std::size_t count, bool all_known,
+                               time_point now);
+
+    // Sets the number of instances that share probes and connections.
+    void set_instances(std::size_t count) { instances_ = count; }
 
     // Sets the peers that are told of requests that crash servers.
     void set_peers(std::string own, std::vector<std::string> peers) {
@@ -357,7 +361,6 @@
     server_entry& entry_of(const std::string& id);
     service_entry& entry_of_service(const std::string& name);
     repeat_budget& repeats_of(const std::string& service, time_point now);
-    std::optional<std::size_t> sharing_instances() const;
     token_bucket& probe_budget_of(server_entry& entry, time_point now);
     double failure_score_of(const server_entry& entry, time_point now) const;
     void record_outcome(const std::string& server, bool good, double weight,
@@ -466,7 +469,7 @@
     router_options options_;
     random_engine engine_;
     std::size_t instances_ = 1;
-    bool all_instances_known_ = true;
+    std::optional<std::size_t> sharing_instances_ = 1; // nullopt: unknown
     server_limits limits_;
     server_notices notices_;
     request_quarantine quarantine_;
--- a/src/decisions/knowledge/directory_follower.cpp
+++ b/src/decisions/knowledge/directory_follower.cpp
@@ -152,12 +152,15 @@
 }
 
 std::size_t directory_follower::estimated_instance_count(time_point now) const {
-    const auto counted = members_.sharing_count(now);
     const bool unknown = now - started_at_ < peer_discovery_period;
-    return std::max<std::size_t>(counted,
+    return std::max<std::size_t>(members_.active_count(now),
                                  unknown ? assumed_instances_at_start : 1);
 }
 
+std::size_t directory_follower::sharing_instance_count(time_point now) const {
+    return std::max(estimated_instance_count(now), members_.sharing_count(now));
+}
+
 void directory_follower::start_read(store_table table, time_point now,
                                     actions& out) {
     auto& state = state_of(table);
--- a/src/decisions/placing/request_repeats.cpp
+++ b/src/decisions/placing/request_repeats.cpp
@@ -6,27 +6,22 @@
 // This instance's part of the budget of repeats.
 namespace lacewingbeam {
 
-void request_router::set_instances(std::size_t count, bool all_known,
-                                   time_point now) {
-    instances_ = count;
-    all_instances_known_ = all_known;
+void request_router::set_sharing_instances(std::size_t count, bool all_known,
+                                           time_point now) {
+    sharing_instances_ = all_known ? std::optional(count) : std::nullopt;
     for (auto& [name, service] : services_) {
         if (service.repeats) {
-            service.repeats->set_instances(sharing_instances(), now);
+            service.repeats->set_instances(sharing_instances_, now);
         }
     }
 }
 
-std::optional<std::size_t> request_router::sharing_instances() const {
-    return all_instances_known_ ? std::optional(instances_) : std::nullopt;
-}
-
 repeat_budget& request_router::repeats_of(const std::string& service,
                                           time_point now) {
     auto& repeats = entry_of_service(service).repeats;
     if (!repeats) {
         repeats = std::make_unique<repeat_budget>(options_.repeats);
-        repeats->set_instances(sharing_instances(), now);
+        repeats->set_instances(sharing_instances_, now);
     }
     return *repeats;
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -179,9 +179,10 @@
 
 void router_process::update_instances() {
     const auto now = loop_.now();
-    const auto sharing = follower_->estimated_instance_count(now);
+    router_->set_instances(follower_->estimated_instance_count(now));
+    const auto sharing = follower_->sharing_instance_count(now);
     const bool all_known = follower_->knows_peers(now);
-    router_->set_instances(sharing, all_known, now);
+    router_->set_sharing_instances(sharing, all_known, now);
     if (sharing != sharing_instances_ || all_known != all_instances_known_) {
         sharing_instances_ = sharing;
         all_instances_known_ = all_known;
--- a/test/unit/path_cluster.hpp
+++ b/test/unit/path_cluster.hpp
@@ -57,7 +57,8 @@
             for (std::size_t s = 0; s < services * servers_per_service; ++s) {
                 ids.push_back("s" + std::to_string(s));
             }
-            routers_[i]->set_instances(instances, true, now);
+            routers_[i]->set_instances(instances);
+            routers_[i]->set_sharing_instances(instances, true, now);
             routers_[i]->on_servers_changed(ids, now);
             auto peers = all;
             peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -394,7 +394,7 @@
     router_fixture_options options;
     options.router.probes_per_second = 20;
     router_fixture fixture(options);
-    fixture.router.set_instances(10, true, fixture.now);
+    fixture.router.set_instances(10);
     unsigned probes = 0;
     const auto begin = fixture.now;
     std::uint64_t id = 1;
--- a/test/unit/shedding_cluster.hpp
+++ b/test/unit/shedding_cluster.hpp
@@ -201,8 +201,9 @@
         if (runs(i) && now() >= next_update_[i]) {
             next_update_[i] = now() + milliseconds(250);
             const auto& follower = cluster.follower(i);
-            routers_[i]->set_instances(follower.estimated_instance_count(now()),
-                                       follower.knows_peers(now()), now());
+            routers_[i]->set_sharing_instances(
+                follower.sharing_instance_count(now()),
+                follower.knows_peers(now()), now());
         }
     }
 
