--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -6,6 +6,7 @@
 #include "core.hpp"
 #include "directory.hpp"
 #include "expected_time.hpp"
+#include "forwarding_peer.hpp"
 #include "load_predictor.hpp"
 #include "path_monitor.hpp"
 #include "repeat_budget.hpp"
@@ -49,13 +50,6 @@
     std::optional<unsigned> max_attempts = {}; // if less than the route's
 };
 
-// Another instance, to which requests may be forwarded.
-struct forwarding_peer {
-    std::string address; // IP:port for callers
-    incarnation id;
-    std::string failure_domain;
-};
-
 // Asks a backend server for its load.
 struct probe_action {
     probe_id id{};
