Review: a request that crashes servers is sent again after a restart

The quarantine is in memory only. After all routers were killed, the request reached servers 8 or 9 times more; three are allowed.

--- a/review/common/testbed.hpp
+++ b/review/common/testbed.hpp
@@ -523,11 +523,8 @@
             int work_ms)
         : log_(log), id_(std::move(id)), service_(std::move(service)),
           slots_(slots), work_ms_(work_ms),
-          server_([this](int fd, const message& m) { return handle(fd, m); }) {
-        born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                    std::chrono::system_clock::now().time_since_epoch())
-                    .count();
-    }
+          born_(unix_ms()),
+          server_([this](int fd, const message& m) { return handle(fd, m); }) {}
 
     const std::string& id() const { return id_; }
     std::string address() const { return server_.address(); }
@@ -540,16 +537,29 @@
                 {"capacity", slots_},
                 {"state", draining ? "draining" : "ready"},
                 {"coldLeftMs", 0},
-                {"born", born_},
+                {"born", born_.load()},
                 {"sequence", ++sequence_}};
     }
 
     // The server crashes: connections are reset and its port refuses others.
+    // Nothing that it was running ends.
     void crash() {
-        crashed_ = true;
+        {
+            std::lock_guard lock(mutex_);
+            ++life_;
+            running_ = 0;
+            freed_.notify_all();
+        }
         server_.shut();
     }
 
+    // The server starts again under its id and address.
+    void restart() {
+        born_ = unix_ms();
+        sequence_ = 0;
+        server_.open();
+    }
+
     void set_work_ms(int value) { work_ms_ = value; }
     unsigned runs(const std::string& request_id) {
         std::lock_guard lock(mutex_);
@@ -565,8 +575,17 @@
     std::function<std::vector<std::string>()> extra_headers;
     // Answers a request instead of running it; returns false if it does not.
     std::function<bool(int fd, const message& request)> instead;
+    // Requests that crash the server that runs them, and what happens then.
+    std::function<bool(const message& request)> deadly;
+    std::function<void(backend&)> crashed;
 
 private:
+    static std::int64_t unix_ms() {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     std::vector<std::string> load_headers() {
         std::vector<std::string> headers{
             "X-Backend-Load: " + std::to_string(running_) + "," +
@@ -582,6 +601,7 @@
     bool handle(int fd, const message& request) {
         const auto request_id = request.header("X-Request-Id");
         std::unique_lock lock(mutex_);
+        const auto life = life_;
         if (request.path() == "/healthz") {
             auto headers = load_headers();
             headers.push_back("X-Backend-Id: " + id_);
@@ -612,10 +632,11 @@
                 return refuse(503, "Service Unavailable");
             }
             ++waiting_;
-            freed_.wait(lock, [&] { return running_ < slots_ || crashed_; });
+            freed_.wait(lock,
+                        [&] { return running_ < slots_ || life != life_; });
             --waiting_;
         }
-        if (crashed_) {
+        if (life != life_) {
             return false;
         }
         ++running_;
@@ -625,11 +646,18 @@
         log_.line("run " + request_id + " at " + id_);
         sleep_ms(work);
         lock.lock();
-        --running_;
-        freed_.notify_all();
-        if (crashed_) {
+        if (life != life_) {
+            return false;
+        }
+        if (deadly && deadly(request)) {
+            lock.unlock();
+            log_.line("crash of " + id_ + " by " + request_id);
+            crash();
+            crashed(*this);
             return false;
         }
+        --running_;
+        freed_.notify_all();
         auto headers = load_headers();
         lock.unlock();
         headers.push_back("X-Request-Id: " + request_id);
@@ -644,9 +672,9 @@
     std::string service_;
     unsigned slots_;
     std::atomic<int> work_ms_;
-    std::atomic<bool> crashed_{false};
-    std::int64_t born_ = 0;
+    std::atomic<std::int64_t> born_;
     std::uint64_t sequence_ = 0;
+    unsigned life_ = 0; // counts crashes
     std::mutex mutex_;
     std::condition_variable freed_;
     unsigned running_ = 0;
