--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr int router_count = 6;
-constexpr int callers_of_small = 4;   // per router
-constexpr int callers_of_sound = 8;  // per router, on kept connections
-constexpr double pause_ms = 15;       // between requests of a caller of "small"
+constexpr int callers_of_small = 4; // per router
+constexpr int callers_of_sound = 8; // per router, on kept connections
+constexpr double pause_ms = 15;     // between requests of a caller of "small"
 constexpr double crash_at_s = 6;
 constexpr double end_at_s = 12;
 constexpr int allowed_losses = 3; // LOST: "more than three times"
@@ -28,14 +28,15 @@
     for (auto* item : {&small, &sound1, &sound2}) {
         registrations.add(*item);
     }
-    rows.put("op", "config",
-             make_config(1, {{"r-small", "/small/", "small", "unsafe"},
-                             {"r-sound", "/sound/", "sound", "safe", 3000, 2000}}));
+    rows.put(
+        "op", "config",
+        make_config(1, {{"r-small", "/small/", "small", "unsafe"},
+                        {"r-sound", "/sound/", "sound", "safe", 3000, 2000}}));
     std::vector<std::unique_ptr<router>> routers;
     std::string seeds;
     for (int i = 0; i < router_count; ++i) {
-        routers.push_back(std::make_unique<router>(
-            "router" + std::to_string(i), args.temporary));
+        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
+                                                   args.temporary));
         seeds += (i == 0 ? "" : ",") + routers.back()->peers();
     }
     for (auto& item : routers) {
@@ -73,8 +74,7 @@
                 bool kept = false; // the connection has had an answer
                 for (int i = 0; !stop; ++i) {
                     const auto id = "sound-" + std::to_string(r) + "-" +
-                                    std::to_string(c) + "-" +
-                                    std::to_string(i);
+                                    std::to_string(c) + "-" + std::to_string(i);
                     const bool was_kept = kept && caller.connected();
                     const auto result =
                         caller.request("GET", "/sound/page", id, 2500);
@@ -84,8 +84,9 @@
                         sound1.runs(id) + sound2.runs(id) > 0;
                     if (result.how == "closed" && was_kept && passed_on) {
                         ++lost;
-                        log.line("lost " + id + ": it was passed on, and its "
-                                                "connection was closed");
+                        log.line("lost " + id +
+                                 ": it was passed on, and its "
+                                 "connection was closed");
                     }
                     if (result.how == "no connection") {
                         sleep_ms(100);
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -39,8 +39,8 @@
     std::vector<std::unique_ptr<router>> routers;
     std::string seeds;
     for (int i = 0; i < 2; ++i) {
-        routers.push_back(std::make_unique<router>(
-            "router" + std::to_string(i), args.temporary));
+        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
+                                                   args.temporary));
         seeds += (i == 0 ? "" : ",") + routers.back()->peers();
     }
     for (auto& item : routers) {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -10,14 +10,14 @@
 
 constexpr int router_count = 3;
 constexpr int server_count = 10;
-constexpr int callers = 7; // per router
+constexpr int callers = 7;        // per router
 constexpr int client_retries = 2; // of a safe request, each on a new connection
 constexpr double deadly_pause_s = 0.7;
-constexpr double first_phase_s = 7;  // the deadly request comes
-constexpr double pause_s = 4;        // longer than contactMs
+constexpr double first_phase_s = 7; // the deadly request comes
+constexpr double pause_s = 4;       // longer than contactMs
 constexpr double restart_after_s = 0.5;
-constexpr double second_phase_s = 8; // it comes again
-constexpr double server_back_s = 3;  // after a crash
+constexpr double second_phase_s = 8;    // it comes again
+constexpr double server_back_s = 3;     // after a crash
 constexpr unsigned allowed_retries = 3; // BUDGET: "in more than three retries"
 
 const std::string deadly_path = "/status/unit-13";
@@ -30,7 +30,7 @@
     store rows;
     registrar registrations(rows);
     std::mutex mutex;
-    std::vector<double> crashes;                 // times
+    std::vector<double> crashes;                          // times
     std::vector<std::pair<double, std::string>> arrivals; // of the request
     std::vector<std::unique_ptr<backend>> servers;
     for (int i = 0; i < server_count; ++i) {
@@ -67,8 +67,8 @@
     std::vector<std::unique_ptr<router>> routers;
     std::string seeds;
     for (int i = 0; i < router_count; ++i) {
-        routers.push_back(std::make_unique<router>(
-            "router" + std::to_string(i), args.temporary));
+        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
+                                                   args.temporary));
         seeds += (i == 0 ? "" : ",") + routers.back()->peers();
     }
     const auto start_all = [&](bool bootstrap) {
@@ -112,8 +112,9 @@
         const double end = now_s() + seconds;
         while (now_s() < end) {
             for (int i = 0; i <= client_retries; ++i) {
-                client caller(log, *routers[static_cast<std::size_t>(
-                                       number % router_count)]);
+                client caller(
+                    log,
+                    *routers[static_cast<std::size_t>(number % router_count)]);
                 const auto result =
                     caller.request("GET", deadly_path,
                                    "deadly-" + std::to_string(number++), 2000);
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -18,8 +18,7 @@
 constexpr double end_at_s = 9;
 
 double resident_mb(pid_t pid) {
-    std::istringstream in(
-        read_file("/proc/" + std::to_string(pid) + "/statm"));
+    std::istringstream in(read_file("/proc/" + std::to_string(pid) + "/statm"));
     double total = 0;
     double resident = 0;
     in >> total >> resident;
@@ -40,15 +39,15 @@
     for (auto* item : {&orders, &sound1, &sound2}) {
         registrations.add(*item);
     }
-    rows.put("op", "config",
-             make_config(1, {{"r-orders", "/orders/", "orders", "unsafe"},
-                             {"r-sound", "/sound/", "sound", "safe", 3000,
-                              2000}}));
+    rows.put(
+        "op", "config",
+        make_config(1, {{"r-orders", "/orders/", "orders", "unsafe"},
+                        {"r-sound", "/sound/", "sound", "safe", 3000, 2000}}));
     std::vector<std::unique_ptr<router>> routers;
     std::string seeds;
     for (int i = 0; i < 2; ++i) {
-        routers.push_back(std::make_unique<router>(
-            "router" + std::to_string(i), args.temporary));
+        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
+                                                   args.temporary));
         seeds += (i == 0 ? "" : ",") + routers.back()->peers();
     }
     for (auto& item : routers) {
@@ -83,8 +82,9 @@
                         sound1.runs(id) + sound2.runs(id) > 0;
                     if (result.how == "closed" && was_kept && passed_on) {
                         ++lost;
-                        log.line("lost " + id + ": it was passed on, and its "
-                                                "connection was closed");
+                        log.line("lost " + id +
+                                 ": it was passed on, and its "
+                                 "connection was closed");
                     }
                     if (result.how == "no connection") {
                         sleep_ms(100);
--- a/review/common/testbed.hpp
+++ b/review/common/testbed.hpp
@@ -83,7 +83,8 @@
     std::ofstream out_;
 };
 
-inline int listen_on_loopback(std::uint16_t& port, int backlog = 512) {
+inline int listen_on_loopback(std::atomic<std::uint16_t>& port,
+                              int backlog = 512) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -144,9 +145,9 @@
     std::string path() const { return target().substr(0, target().find('?')); }
     std::string query(const std::string& name) const {
         const auto text = target();
-        std::istringstream in(
-            text.find('?') == std::string::npos ? ""
-                                                : text.substr(text.find('?') + 1));
+        std::istringstream in(text.find('?') == std::string::npos
+                                  ? ""
+                                  : text.substr(text.find('?') + 1));
         std::string part;
         while (std::getline(in, part, '&')) {
             if (part.starts_with(name + "=")) {
@@ -265,9 +266,7 @@
     server& operator=(const server&) = delete;
 
     std::uint16_t port() const { return port_; }
-    std::string address() const {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
     // As when the process ends: the port is closed and connections are reset.
     void shut() {
@@ -290,15 +289,23 @@
         }
     }
 
+    // Opens the same port again, or another one if it is in use by now.
     void open() {
-        const int listener = listen_on_loopback(port_);
+        int listener = -1;
+        try {
+            listener = listen_on_loopback(port_);
+        } catch (const std::runtime_error&) {
+            port_ = 0;
+            listener = listen_on_loopback(port_);
+        }
         {
             std::lock_guard lock(mutex_);
             listener_ = listener;
         }
         acceptor_ = std::thread([this, listener] {
             while (true) {
-                const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+                const int fd =
+                    accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
                 if (fd < 0 && (errno == EBADF || errno == EINVAL)) {
                     return; // shut down
                 }
@@ -332,7 +339,7 @@
     }
 
     handler handle_;
-    std::uint16_t port_;
+    std::atomic<std::uint16_t> port_;
     std::mutex mutex_;
     int listener_ = -1;
     std::set<int> connections_;
@@ -346,10 +353,9 @@
     for (std::size_t i = 0; i < text.size(); i += 3) {
         std::uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j) {
-            group = group << 8U |
-                    (i + j < text.size()
-                         ? static_cast<unsigned char>(text[i + j])
-                         : 0U);
+            group = group << 8U | (i + j < text.size()
+                                       ? static_cast<unsigned char>(text[i + j])
+                                       : 0U);
         }
         for (std::size_t j = 0; j < 4; ++j) {
             out += i + j <= text.size() ? digits[group >> (18 - 6 * j) & 63U]
@@ -374,7 +380,8 @@
 // The platform's store: rows with revisions, reads and long polls.
 class store {
 public:
-    store() : server_([this](int fd, const message& m) { return handle(fd, m); }) {}
+    store()
+        : server_([this](int fd, const message& m) { return handle(fd, m); }) {}
 
     std::string address() const { return server_.address(); }
 
@@ -436,7 +443,8 @@
                 const auto wait = request.query("waitMs");
                 changed_.wait_for(
                     lock,
-                    std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait)),
+                    std::chrono::milliseconds(wait.empty() ? 0
+                                                           : std::stoi(wait)),
                     [&] { return !changes(table, after).empty(); });
                 body["rows"] = changes(table, after);
             } else if (request.path() == "/rows-get") {
@@ -453,10 +461,10 @@
             body["revision"] = revision_;
             body["nowMs"] = static_cast<std::int64_t>(now_s() * 1000);
         }
-        return send_all(fd, response(200, "OK",
-                                     {"Content-Type: application/json",
-                                      "Store-Era: 1"},
-                                     body.dump()));
+        return send_all(
+            fd, response(200, "OK",
+                         {"Content-Type: application/json", "Store-Era: 1"},
+                         body.dump()));
     }
 
     std::mutex mutex_;
@@ -522,8 +530,7 @@
     backend(record& log, std::string id, std::string service, unsigned slots,
             int work_ms)
         : log_(log), id_(std::move(id)), service_(std::move(service)),
-          slots_(slots), work_ms_(work_ms),
-          born_(unix_ms()),
+          slots_(slots), work_ms_(work_ms), born_(unix_ms()),
           server_([this](int fd, const message& m) { return handle(fd, m); }) {}
 
     const std::string& id() const { return id_; }
@@ -663,8 +670,7 @@
         headers.push_back("X-Request-Id: " + request_id);
         headers.push_back("X-Response-Stamp: stamp." + request_id);
         log_.line("end " + request_id + " at " + id_);
-        return send_all(fd,
-                        response(200, "OK", headers, "done " + request_id));
+        return send_all(fd, response(200, "OK", headers, "done " + request_id));
     }
 
     record& log_;
@@ -762,9 +768,7 @@
     const std::string& name() const { return name_; }
     std::uint16_t callers() const { return callers_; }
     std::uint16_t readiness() const { return readiness_; }
-    std::string peers() const {
-        return "127.0.0.1:" + std::to_string(peers_);
-    }
+    std::string peers() const { return "127.0.0.1:" + std::to_string(peers_); }
     pid_t pid() const { return pid_; }
 
     void write_settings(const std::string& store_address,
@@ -867,7 +871,7 @@
 };
 
 struct outcome {
-    int status = 0; // 0: no complete answer
+    int status = 0;  // 0: no complete answer
     std::string how; // "answer", "closed", "timeout", "no connection"
     message answer;
 };
@@ -890,6 +894,8 @@
     }
     bool connected() const { return fd_ >= 0; }
 
+    std::string extra_headers; // complete lines
+
     outcome request(const std::string& method, const std::string& target,
                     const std::string& id, int deadline_ms,
                     const std::string& body = {}) {
@@ -899,10 +905,11 @@
             log_.line("client " + id + " no connection");
             return out;
         }
-        std::string text = method + " " + target + " HTTP/1.1\r\nHost: " +
-                           host + "\r\nX-Request-Id: " + id +
+        std::string text = method + " " + target +
+                           " HTTP/1.1\r\nHost: " + host +
+                           "\r\nX-Request-Id: " + id +
                            "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) +
-                           "\r\n";
+                           "\r\n" + extra_headers;
         if (method != "GET") {
             text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         }
