--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -29,63 +29,16 @@
     rows.put("op", "config",
              make_config(
                  1, {{"r-status", "/status/", "status", "safe", 3000, 2000}}));
-    std::vector<std::unique_ptr<router>> routers;
-    std::string seeds;
-    for (int i = 0; i < router_count; ++i) {
-        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
-                                                   args.temporary));
-        seeds += (i == 0 ? "" : ",") + routers.back()->peers();
-    }
-    for (auto& item : routers) {
-        item->write_settings(rows.address(), seeds, true);
-        item->start();
-    }
-    for (auto& item : routers) {
-        if (!eventually([&] { return item->is_ready(); })) {
-            log.note("a router did not become ready");
-            finish(routers, exit_not_run);
-        }
-    }
+    auto routers = make_routers(router_count, args.temporary);
+    start_all(routers, rows, log);
     const double begin = now_s();
-    std::atomic<bool> stop{false};
-    std::atomic<int> answered{0};
-    std::atomic<int> answered_later{0}; // of the requests after the odd entry
-    std::atomic<int> lost{0};           // passed on, then closed
-    std::vector<std::thread> threads;
+    kept_callers clients(log, {&server1, &server2});
     for (auto& target : routers) {
-        for (int c = 0; c < callers; ++c) {
-            threads.emplace_back([&, c] {
-                client caller(log, *target);
-                bool kept = false; // the connection has had an answer
-                for (int i = 0; !stop; ++i) {
-                    const auto id = target->name() + "-" + std::to_string(c) +
-                                    "-" + std::to_string(i);
-                    const double sent_at = now_s() - begin;
-                    const bool was_kept = kept && caller.connected();
-                    const auto result =
-                        caller.request("GET", "/status/page", id, 2500);
-                    kept = result.how == "answer";
-                    answered += result.status == 200 ? 1 : 0;
-                    answered_later +=
-                        result.status == 200 && sent_at > odd_entry_at_s + 1
-                            ? 1
-                            : 0;
-                    const bool passed_on =
-                        server1.runs(id) + server2.runs(id) > 0;
-                    if (result.how == "closed" && was_kept && passed_on) {
-                        ++lost;
-                        log.line("lost " + id +
-                                 ": it was passed on, and its "
-                                 "connection was closed");
-                    }
-                    if (result.how == "no connection") {
-                        sleep_ms(100);
-                    }
-                }
-            });
-        }
+        clients.start(*target, callers, "/status/page");
     }
+    // The platform restarts processes that end.
     int ended = 0;
+    std::atomic<bool> stop{false};
     std::thread platform([&] {
         while (!stop) {
             for (auto& item : routers) {
@@ -94,8 +47,7 @@
                     log.note(item->name() + " ended by itself: " + *how);
                     ++ended;
                     sleep_ms(restart_after_s * 1000);
-                    item->write_settings(rows.address(), seeds, false);
-                    item->start();
+                    start(*item, routers, rows, false);
                 }
             }
             sleep_ms(10);
@@ -110,19 +62,20 @@
         log.note("another writer puts an entry with the value ====");
         rows.put_text("servers", "odd-3", "====");
     }
+    sleep_ms(1000);
+    const int answered_before = clients.answered();
     sleep_ms(std::max(0.0, begin + end_at_s - now_s()) * 1000);
+    const int answered_later = clients.answered() - answered_before;
     stop = true;
     platform.join();
-    for (auto& item : threads) {
-        item.join();
-    }
-    log.note("routers ended by themselves: " + std::to_string(ended) +
-             " times; answered: " + std::to_string(answered) +
-             ", of the requests later than 1 s after the entry: " +
-             std::to_string(answered_later) +
-             "; lost: " + std::to_string(lost));
-    if (answered == 0) {
+    clients.stop();
+    log.note(
+        "routers ended by themselves: " + std::to_string(ended) +
+        " times; answered: " + std::to_string(clients.answered()) +
+        ", later than 1 s after the entry: " + std::to_string(answered_later) +
+        "; lost: " + std::to_string(clients.lost()));
+    if (clients.answered() == 0) {
         finish(routers, exit_not_run);
     }
-    finish(routers, lost > allowed_losses ? exit_broken : exit_held);
+    finish(routers, clients.lost() > allowed_losses ? exit_broken : exit_held);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -51,23 +51,8 @@
     rows.put("op", "config",
              make_config(1, {{"r-status", "/status/", "status", "safe"},
                              {"r-orders", "/orders/", "status", "unsafe"}}));
-    std::vector<std::unique_ptr<router>> routers;
-    std::string seeds;
-    for (int i = 0; i < router_count; ++i) {
-        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
-                                                   args.temporary));
-        seeds += (i == 0 ? "" : ",") + routers.back()->peers();
-    }
-    for (auto& item : routers) {
-        item->write_settings(rows.address(), seeds, true);
-        item->start();
-    }
-    for (auto& item : routers) {
-        if (!eventually([&] { return item->is_ready(); })) {
-            log.note("a router did not become ready");
-            finish(routers, exit_not_run);
-        }
-    }
+    auto routers = make_routers(router_count, args.temporary);
+    start_all(routers, rows, log);
     std::atomic<bool> stop{false};
     std::atomic<int> answered{0};
     std::atomic<int> wrong{0};
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -66,26 +66,8 @@
     rows.put("op", "config",
              make_config(1, {{"r-status", "/status/", "status", "safe"},
                              {"r-orders", "/orders/", "status", "unsafe"}}));
-    std::vector<std::unique_ptr<router>> routers;
-    std::string seeds;
-    for (int i = 0; i < router_count; ++i) {
-        routers.push_back(std::make_unique<router>("router" + std::to_string(i),
-                                                   args.temporary));
-        seeds += (i == 0 ? "" : ",") + routers.back()->peers();
-    }
-    const auto start_all = [&](bool bootstrap) {
-        for (auto& item : routers) {
-            item->write_settings(rows.address(), seeds, bootstrap);
-            item->start();
-        }
-        for (auto& item : routers) {
-            if (!eventually([&] { return item->is_ready(); })) {
-                log.note("a router did not become ready");
-                finish(routers, exit_not_run);
-            }
-        }
-    };
-    start_all(true);
+    auto routers = make_routers(router_count, args.temporary);
+    start_all(routers, rows, log);
     sleep_ms(3000);
 
     std::atomic<bool> stop{false};
--- a/review/common/testbed.hpp
+++ b/review/common/testbed.hpp
@@ -6,6 +6,7 @@
 // processes. Each script runs the routers as separate processes and plays all
 // other parts in its own process, on loopback addresses and the real clock.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cctype>
@@ -980,6 +981,109 @@
     std::_Exit(status);
 }
 
+// The routers of one installation, not started yet.
+inline std::vector<std::unique_ptr<router>>
+make_routers(int count, const std::string& folder) {
+    std::vector<std::unique_ptr<router>> routers;
+    for (int i = 0; i < count; ++i) {
+        routers.push_back(
+            std::make_unique<router>("router" + std::to_string(i), folder));
+    }
+    return routers;
+}
+
+// Writes a router's settings and starts it. `first_start` is true when the
+// whole system starts for the first time.
+inline void start(router& item,
+                  const std::vector<std::unique_ptr<router>>& routers,
+                  const store& rows, bool first_start) {
+    constexpr std::size_t max_seeds = 3;
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min(max_seeds, routers.size()); ++i) {
+        seeds += (i == 0 ? "" : ",") + routers[i]->peers();
+    }
+    item.write_settings(rows.address(), seeds, first_start);
+    item.start();
+}
+
+// Starts all routers and waits until they are ready. Ends the script if one
+// does not become so.
+inline void start_all(std::vector<std::unique_ptr<router>>& routers,
+                      const store& rows, record& log) {
+    for (auto& item : routers) {
+        start(*item, routers, rows, true);
+    }
+    for (auto& item : routers) {
+        if (!eventually([&] { return item->is_ready(); })) {
+            log.note(item->name() + " did not become ready");
+            finish(routers, exit_not_run);
+        }
+    }
+}
+
+// Callers that send one request after the other on kept connections. Counts
+// what the rule LOST names: a request from a kept connection that was passed on
+// to a sound server, and whose connection was then closed without an answer.
+class kept_callers {
+public:
+    kept_callers(record& log, std::vector<backend*> servers)
+        : log_(log), servers_(std::move(servers)) {}
+
+    void start(const router& target, int count, const std::string& path) {
+        for (int c = 0; c < count; ++c) {
+            threads_.emplace_back([this, &target, path, c] {
+                run(target, path,
+                    "kept-" + target.name() + "-" + std::to_string(c) + "-");
+            });
+        }
+    }
+
+    void stop() {
+        stop_ = true;
+        for (auto& item : threads_) {
+            item.join();
+        }
+        threads_.clear();
+    }
+
+    int answered() const { return answered_; }
+    int lost() const { return lost_; }
+
+private:
+    void run(const router& target, const std::string& path,
+             const std::string& name) {
+        client caller(log_, target);
+        bool kept = false; // the connection has had an answer
+        for (int i = 0; !stop_; ++i) {
+            const auto id = name + std::to_string(i);
+            const bool was_kept = kept && caller.connected();
+            const auto result = caller.request("GET", path, id, 2500);
+            kept = result.how == "answer";
+            answered_ += result.status == 200 ? 1 : 0;
+            if (result.how == "closed" && was_kept && was_passed_on(id)) {
+                ++lost_;
+                log_.line("lost " + id +
+                          ": it was passed on, and its connection was closed");
+            }
+            if (result.how == "no connection") {
+                sleep_ms(100);
+            }
+        }
+    }
+
+    bool was_passed_on(const std::string& id) {
+        return std::any_of(servers_.begin(), servers_.end(),
+                           [&](backend* item) { return item->runs(id) > 0; });
+    }
+
+    record& log_;
+    std::vector<backend*> servers_;
+    std::vector<std::thread> threads_;
+    std::atomic<bool> stop_{false};
+    std::atomic<int> answered_{0};
+    std::atomic<int> lost_{0};
+};
+
 // Arguments of a script's program: the folder for record.txt, and a temporary
 // folder. The environment variable TROUBLE=0 leaves out the disruption.
 struct arguments {
