--- a/review/common/testbed.hpp
+++ b/review/common/testbed.hpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <cctype>
 #include <cerrno>
@@ -763,6 +764,28 @@
     return ntohs(address.sin_port);
 }
 
+// The processes that run, so that none is left if the script itself is ended.
+inline constexpr std::size_t max_children = 64;
+inline std::array<std::atomic<pid_t>, max_children> children;
+
+inline void replace_child(pid_t from, pid_t to) {
+    for (auto& item : children) {
+        pid_t expected = from;
+        if (item.compare_exchange_strong(expected, to)) {
+            return;
+        }
+    }
+}
+
+inline void end_children(int) {
+    for (auto& item : children) {
+        if (const pid_t pid = item; pid > 0) {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    _exit(exit_not_run);
+}
+
 // A router process, started with the command of the deploy file and settings
 // made from its template.
 class router {
@@ -829,6 +852,7 @@
                   "--settings", file.c_str(), static_cast<char*>(nullptr));
             _exit(127);
         }
+        replace_child(0, pid_);
         ended_.reset();
     }
 
@@ -839,6 +863,7 @@
         if (pid_ > 0 && !ended_) {
             int status = 0;
             if (waitpid(pid_, &status, WNOHANG) == pid_) {
+                replace_child(pid_, 0);
                 ended_ = WIFSIGNALED(status)
                              ? "signal " + std::to_string(WTERMSIG(status))
                              : "exit " + std::to_string(WEXITSTATUS(status));
@@ -853,6 +878,7 @@
             ::kill(pid_, SIGKILL);
             int status = 0;
             waitpid(pid_, &status, 0);
+            replace_child(pid_, 0);
             ended_ = "killed by the script";
         }
     }
@@ -1102,6 +1128,9 @@
         const char* text = std::getenv("TROUBLE");
         trouble = text == nullptr || std::string(text) != "0";
         std::signal(SIGPIPE, SIG_IGN);
+        for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGABRT}) {
+            std::signal(number, end_children);
+        }
     }
 };
 
