--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,19 +1,27 @@
 #include "../common/testbed.hpp"
 
-// Another writer puts an entry that cannot be read among the backend servers'
-// registrations. It names no server to use; the others hold.
+// Half of the backend servers spoil a few of their answers: one byte of the
+// status line is wrong, so that it is no answer in the protocol. Clients must
+// not get such bytes.
 
 using namespace testbed;
 
 namespace {
 
-constexpr int router_count = 3;
-constexpr int callers = 8; // per router, on kept connections
-constexpr double first_entries_at_s = 3;
-constexpr double odd_entry_at_s = 5;
-constexpr double end_at_s = 12;
-constexpr double restart_after_s = 0.5;
-constexpr int allowed_losses = 3; // LOST: "more than three times"
+constexpr int router_count = 2;
+constexpr int callers = 6;             // per router
+constexpr double spoiled_share = 0.02; // garble: x, on half of the servers
+constexpr double length_s = 10;
+
+// Returns true for the status line of an answer in the protocol.
+bool is_answer(const std::string& line) {
+    const bool has_code = line.size() >= 12 && line.starts_with("HTTP/1.") &&
+                          line[8] == ' ' && std::isdigit(line[9]) != 0 &&
+                          std::isdigit(line[10]) != 0 &&
+                          std::isdigit(line[11]) != 0;
+    return has_code && line[9] >= '1' && line[9] <= '5' &&
+           (line.size() == 12 || line[12] == ' ');
+}
 
 } // namespace
 
@@ -22,60 +30,71 @@
     record log(args.folder + "/record.txt");
     store rows;
     registrar registrations(rows);
-    backend server1(log, "status-1", "status", 32, 400);
-    backend server2(log, "status-2", "status", 32, 400);
-    registrations.add(server1);
-    registrations.add(server2);
+    std::atomic<int> answers{0};
+    std::atomic<int> spoiled{0};
+    std::vector<std::unique_ptr<backend>> servers;
+    for (int i = 0; i < 4; ++i) {
+        servers.push_back(std::make_unique<backend>(
+            log, "status-" + std::to_string(i), "status", 3, 50));
+        if (args.trouble && i % 2 == 0) {
+            servers.back()->spoil = [&](std::string text) {
+                constexpr int every = static_cast<int>(1 / spoiled_share);
+                if (++answers % every != 0) {
+                    return text;
+                }
+                ++spoiled;
+                return text.replace(10, 1, "O"); // HTTP/1.1 2O0 OK
+            };
+        }
+        registrations.add(*servers.back());
+    }
     rows.put("op", "config",
-             make_config(
-                 1, {{"r-status", "/status/", "status", "safe", 3000, 2000}}));
+             make_config(1, {{"r-status", "/status/", "status", "safe"},
+                             {"r-orders", "/orders/", "status", "unsafe"}}));
     auto routers = make_routers(router_count, args.temporary);
     start_all(routers, rows, log);
-    const double begin = now_s();
-    kept_callers clients(log, {&server1, &server2});
-    for (auto& target : routers) {
-        clients.start(*target, callers, "/status/page");
-    }
-    // The platform restarts processes that end.
-    int ended = 0;
     std::atomic<bool> stop{false};
-    std::thread platform([&] {
-        while (!stop) {
-            for (auto& item : routers) {
-                const auto how = item->ended();
-                if (how) {
-                    log.note(item->name() + " ended by itself: " + *how);
-                    ++ended;
-                    sleep_ms(restart_after_s * 1000);
-                    start(*item, routers, rows, false);
+    std::atomic<int> answered{0};
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> threads;
+    for (auto& target : routers) {
+        for (int c = 0; c < callers; ++c) {
+            threads.emplace_back([&, c] {
+                client caller(log, *target);
+                for (int i = 0; !stop; ++i) {
+                    const auto id = target->name() + "-" + std::to_string(c) +
+                                    "-" + std::to_string(i);
+                    const auto result =
+                        c % 2 == 0
+                            ? caller.request("GET", "/status/a", id, 2000)
+                            : caller.request("POST", "/orders/a", id, 2000, id);
+                    answered += result.status == 200 ? 1 : 0;
+                    if (result.how == "answer" &&
+                        !is_answer(result.answer.first_line)) {
+                        ++wrong;
+                        log.note("the client of " + id + " gets \"" +
+                                 result.answer.first_line +
+                                 "\", X-Response-Stamp \"" +
+                                 result.answer.header("X-Response-Stamp") +
+                                 "\", and " +
+                                 std::to_string(result.answer.body.size()) +
+                                 " bytes");
+                    }
+                    sleep_ms(10);
                 }
-            }
-            sleep_ms(10);
+            });
         }
-    });
-    sleep_ms(first_entries_at_s * 1000);
-    // Entries that are ignored, as they should be.
-    rows.put("servers", "odd-1", {{"service", "status"}, {"capacity", "many"}});
-    rows.put_text("servers", "odd-2", base64("\xff\xfe not JSON"));
-    sleep_ms((odd_entry_at_s - first_entries_at_s) * 1000);
-    if (args.trouble) {
-        log.note("another writer puts an entry with the value ====");
-        rows.put_text("servers", "odd-3", "====");
     }
-    sleep_ms(1000);
-    const int answered_before = clients.answered();
-    sleep_ms(std::max(0.0, begin + end_at_s - now_s()) * 1000);
-    const int answered_later = clients.answered() - answered_before;
+    sleep_ms(length_s * 1000);
     stop = true;
-    platform.join();
-    clients.stop();
-    log.note(
-        "routers ended by themselves: " + std::to_string(ended) +
-        " times; answered: " + std::to_string(clients.answered()) +
-        ", later than 1 s after the entry: " + std::to_string(answered_later) +
-        "; lost: " + std::to_string(clients.lost()));
-    if (clients.answered() == 0) {
+    for (auto& item : threads) {
+        item.join();
+    }
+    log.note("answered: " + std::to_string(answered) +
+             "; spoiled by servers: " + std::to_string(spoiled) +
+             "; no answers that clients got: " + std::to_string(wrong));
+    if (answered == 0) {
         finish(routers, exit_not_run);
     }
-    finish(routers, clients.lost() > allowed_losses ? exit_broken : exit_held);
+    finish(routers, wrong > 0 ? exit_broken : exit_held);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,27 +1,28 @@
 #include "../common/testbed.hpp"
 
-// Half of the backend servers spoil a few of their answers: one byte of the
-// status line is wrong, so that it is no answer in the protocol. Clients must
-// not get such bytes.
+// A router is stopped with SIGTERM while its callers' requests wait for a slot
+// at a busy backend server. Each request that it has read must be answered.
 
 using namespace testbed;
 
 namespace {
 
-constexpr int router_count = 2;
-constexpr int callers = 6;             // per router
-constexpr double spoiled_share = 0.02; // garble: x, on half of the servers
-constexpr double length_s = 10;
+constexpr unsigned slots = 2;
+constexpr int work_ms = 200;          // the server takes 10 requests a second
+constexpr int requests_per_s = 15;    // 1.5 times as many
+constexpr int time_limit_ms = 4000;   // of the route and of the callers
+constexpr double load_before_s = 5;   // before SIGTERM
+constexpr double load_after_s = 2.9;  // callers use open connections
+constexpr double grace_s = 6;         // until SIGKILL
+constexpr double loss_slack_s = 0.2;  // lossSlackMs
+constexpr double excused_until_s = 3; // for requests that a server works at
 
-// Returns true for the status line of an answer in the protocol.
-bool is_answer(const std::string& line) {
-    const bool has_code = line.size() >= 12 && line.starts_with("HTTP/1.") &&
-                          line[8] == ' ' && std::isdigit(line[9]) != 0 &&
-                          std::isdigit(line[10]) != 0 &&
-                          std::isdigit(line[11]) != 0;
-    return has_code && line[9] >= '1' && line[9] <= '5' &&
-           (line.size() == 12 || line[12] == ' ');
-}
+struct sent_request {
+    std::string id;
+    double sent_at = 0;
+    double ended_at = 0;
+    outcome result;
+};
 
 } // namespace
 
@@ -30,71 +31,82 @@
     record log(args.folder + "/record.txt");
     store rows;
     registrar registrations(rows);
-    std::atomic<int> answers{0};
-    std::atomic<int> spoiled{0};
-    std::vector<std::unique_ptr<backend>> servers;
-    for (int i = 0; i < 4; ++i) {
-        servers.push_back(std::make_unique<backend>(
-            log, "status-" + std::to_string(i), "status", 3, 50));
-        if (args.trouble && i % 2 == 0) {
-            servers.back()->spoil = [&](std::string text) {
-                constexpr int every = static_cast<int>(1 / spoiled_share);
-                if (++answers % every != 0) {
-                    return text;
-                }
-                ++spoiled;
-                return text.replace(10, 1, "O"); // HTTP/1.1 2O0 OK
-            };
-        }
-        registrations.add(*servers.back());
-    }
+    backend server(log, "dispatch-1", "dispatch", slots, work_ms);
+    registrations.add(server);
     rows.put("op", "config",
-             make_config(1, {{"r-status", "/status/", "status", "safe"},
-                             {"r-orders", "/orders/", "status", "unsafe"}}));
-    auto routers = make_routers(router_count, args.temporary);
+             make_config(1, {{"r-dispatch", "/dispatch/", "dispatch", "unsafe",
+                              time_limit_ms, 400}}));
+    auto routers = make_routers(2, args.temporary);
     start_all(routers, rows, log);
-    std::atomic<bool> stop{false};
-    std::atomic<int> answered{0};
-    std::atomic<int> wrong{0};
-    std::vector<std::thread> threads;
-    for (auto& target : routers) {
-        for (int c = 0; c < callers; ++c) {
-            threads.emplace_back([&, c] {
-                client caller(log, *target);
-                for (int i = 0; !stop; ++i) {
-                    const auto id = target->name() + "-" + std::to_string(c) +
-                                    "-" + std::to_string(i);
-                    const auto result =
-                        c % 2 == 0
-                            ? caller.request("GET", "/status/a", id, 2000)
-                            : caller.request("POST", "/orders/a", id, 2000, id);
-                    answered += result.status == 200 ? 1 : 0;
-                    if (result.how == "answer" &&
-                        !is_answer(result.answer.first_line)) {
-                        ++wrong;
-                        log.note("the client of " + id + " gets \"" +
-                                 result.answer.first_line +
-                                 "\", X-Response-Stamp \"" +
-                                 result.answer.header("X-Response-Stamp") +
-                                 "\", and " +
-                                 std::to_string(result.answer.body.size()) +
-                                 " bytes");
-                    }
-                    sleep_ms(10);
-                }
-            });
+    auto& stopped = *routers[0];
+    const int count =
+        static_cast<int>((load_before_s + load_after_s) * requests_per_s);
+    std::vector<sent_request> requests(static_cast<std::size_t>(count));
+    std::vector<std::unique_ptr<client>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(std::make_unique<client>(log, stopped));
+        if (!callers.back()->connect()) {
+            log.note("no connection");
+            finish(routers, exit_not_run);
         }
     }
-    sleep_ms(length_s * 1000);
-    stop = true;
+    const double begin = now_s();
+    std::vector<std::thread> threads;
+    for (int i = 0; i < count; ++i) {
+        threads.emplace_back([&, i] {
+            auto& item = requests[static_cast<std::size_t>(i)];
+            item.id = "order-" + std::to_string(i);
+            const double at = begin + static_cast<double>(i) / requests_per_s;
+            sleep_ms(std::max(0.0, at - now_s()) * 1000);
+            item.sent_at = now_s();
+            item.result = callers[static_cast<std::size_t>(i)]->request(
+                "POST", "/dispatch/crew", item.id, time_limit_ms, "order");
+            item.ended_at = now_s();
+        });
+    }
+    sleep_ms(load_before_s * 1000);
+    const double stop_at = now_s();
+    if (args.trouble) {
+        log.note("SIGTERM to " + stopped.name());
+        stopped.signal(SIGTERM);
+    }
+    std::thread platform([&] {
+        sleep_ms(grace_s * 1000);
+        if (args.trouble && !stopped.ended()) {
+            log.note("SIGKILL to " + stopped.name());
+            stopped.signal(SIGKILL);
+        }
+    });
     for (auto& item : threads) {
         item.join();
     }
-    log.note("answered: " + std::to_string(answered) +
-             "; spoiled by servers: " + std::to_string(spoiled) +
-             "; no answers that clients got: " + std::to_string(wrong));
-    if (answered == 0) {
+    platform.join();
+    std::map<std::string, int> totals;
+    int lost = 0;
+    for (const auto& item : requests) {
+        ++totals[item.result.how + " " + std::to_string(item.result.status)];
+        const bool cut = item.result.how == "closed" &&
+                         item.ended_at - item.sent_at > loss_slack_s;
+        // A request that a server works at when the grace time ends is excused.
+        const bool excused = server.runs(item.id) > 0 &&
+                             item.sent_at <= stop_at + excused_until_s;
+        if (cut && !excused) {
+            ++lost;
+            char text[160];
+            std::snprintf(text, sizeof text,
+                          "lost %s: sent %.3f s after SIGTERM, closed without "
+                          "an answer after %.3f s, ran %u times",
+                          item.id.c_str(), item.sent_at - stop_at,
+                          item.ended_at - item.sent_at, server.runs(item.id));
+            log.note(text);
+        }
+    }
+    for (const auto& [how, number] : totals) {
+        log.note(how + ": " + std::to_string(number));
+    }
+    log.note(stopped.name() + ": " + stopped.ended().value_or("running"));
+    if (totals["answer 200"] == 0) {
         finish(routers, exit_not_run);
     }
-    finish(routers, wrong > 0 ? exit_broken : exit_held);
+    finish(routers, lost > 0 ? exit_broken : exit_held);
 }
