Place requests again only when no event refers to them

Cause: the refused connection that shows a lost path placed all unsent requests again, its own among them, while on_attempt_ended referred to that request. With no server left it ended there, was used after it was freed, and ended once more. Ruled out: the pool's callbacks (the sanitizer names on_attempt_ended) and memory.

Change: on_path_lost notes the requests; they are placed again at the end of the event. A request that may not be sent ends in place, which also bounds the loop of place_waiting. The soak crashes whole services and reports routers that end by themselves.

Conclusion: no event can end a request that another one is handling, since nothing but the own request is touched before the event is done.

--- a/src/decisions/placing/request_paths.cpp
+++ b/src/decisions/placing/request_paths.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <utility>
 
 // Whether this instance has a path to the servers.
 namespace lacewingbeam {
@@ -100,7 +101,9 @@
     }
 }
 
-// Requests that have not been sent yet are placed again.
+// Requests that have not been sent yet are placed again, but only by
+// place_unsent_again: the caller of this function may refer to one of them, and
+// placing a request can end it.
 void request_router::on_path_lost(const std::string& service,
                                   std::size_t silent, time_point now,
                                   actions& out) {
@@ -114,15 +117,23 @@
             entry.failure_score = 0; // the path was at fault
         }
     }
-    std::vector<call_id> unsent;
     for (const auto& [id, request] : requests_) {
         if (request.running_attempts.empty() &&
             (service.empty() || request.service == service)) {
-            unsent.push_back(id);
+            unsent_without_path_.insert(id);
         }
     }
-    for (const auto id : unsent) {
-        auto& request = requests_.at(id);
+}
+
+// Called at the end of an event, when nothing refers to a request any more.
+void request_router::place_unsent_again(time_point now, actions& out) {
+    for (const auto id : std::exchange(unsent_without_path_, {})) {
+        const auto found = requests_.find(id);
+        if (found == requests_.end() ||
+            !found->second.running_attempts.empty()) {
+            continue;
+        }
+        auto& request = found->second;
         request.decide_at.reset();
         request.recheck_at.reset();
         request.pending_probes.clear();
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -426,17 +426,22 @@
     return std::max(min_connections, static_cast<unsigned>(share));
 }
 
+// Sends the request to the server. A request that must not be sent again ends,
+// unless another attempt is running.
 void request_router::place(request_entry& request, const scored_server& chosen,
                            std::size_t count, time_point now, actions& out) {
-    const bool may_run_elsewhere =
-        !request.running_attempts.empty() || request.lost_reason;
-    if (may_run_elsewhere && request.retry == retry_policy::at_most_once) {
-        return;
-    }
+    const bool running = !request.running_attempts.empty();
     if (refuse_if_quarantined(request, now, out)) {
         return;
     }
-    if (!take_reserved_repeat(request)) {
+    const bool may_send = request.retry == retry_policy::retryable ||
+                          (!running && !request.lost_reason);
+    if (!may_send || !take_reserved_repeat(request)) {
+        if (!running) {
+            refuse(request,
+                   request.refused_reason.value_or(not_run_reason::shed), now,
+                   out);
+        }
         return;
     }
     const auto& server = *directory_.find(chosen.id);
@@ -451,7 +456,7 @@
     action.time_left = request.deadline - now;
     action.max_connections = connection_share(request.max_connections);
     action.repeatable = request.retry == retry_policy::retryable;
-    action.hedge = !request.running_attempts.empty();
+    action.hedge = running;
     action.load = entry.load.value_or(server_load_sample{});
     if (entry.load) {
         action.load_age = now - entry.load_at;
--- a/src/decisions/placing/request_probing.cpp
+++ b/src/decisions/placing/request_probing.cpp
@@ -160,6 +160,7 @@
         record_outcome(server, false, refusal_weight, now);
     }
     probe_settled(id, now, out);
+    place_unsent_again(now, out);
     return out;
 }
 
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -172,11 +172,21 @@
     }
     auto& request = requests_.at(attempt.call);
     std::erase(request.running_attempts, id);
-    if (!attempt.peer.empty()) {
+    if (attempt.peer.empty()) {
+        note_outcome(attempt.server, result, now, out);
+        on_server_attempt_ended(request, attempt, id, result, now, out);
+    } else {
         on_forward_ended(request, attempt, id, result, now, out);
-        return out;
     }
-    note_outcome(attempt.server, result, now, out);
+    place_unsent_again(now, out);
+    return out;
+}
+
+void request_router::on_server_attempt_ended(request_entry& request,
+                                             const attempt_entry& attempt,
+                                             attempt_id id,
+                                             const attempt_outcome& result,
+                                             time_point now, actions& out) {
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         record_outcome(attempt.server, !answered->server_error, 1, now);
         note_server_alive(attempt.server, attempt.sent_at, now, out);
@@ -194,14 +204,14 @@
             if (request.running_attempts.empty()) {
                 start_placement(request, now, out);
             }
-            return out; // another attempt may still succeed
+            return; // another attempt may still succeed
         }
         if (!answered->server_error) {
             update_estimates(request, attempt, answered->response_kb, now);
         }
         out.emplace_back(deliver_action{request.id, id});
         remove_request(request.id, id, out);
-        return out;
+        return;
     }
     if (const auto* refused = std::get_if<attempt_not_run>(&result)) {
         request.refused_reason = refused->reason;
@@ -226,7 +236,6 @@
     if (request.running_attempts.empty() && !request.decide_at) {
         retry_or_finish(request, now, out);
     }
-    return out;
 }
 
 void request_router::update_estimates(const request_entry& request,
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -124,6 +124,7 @@
         begin(schedule_[next_fault_++]);
         run_pending_steps(); // resumes a paused store before the next edit
     }
+    restart_ended_routers();
     collect();
 }
 
@@ -149,6 +150,8 @@
         begin_paths_cut(event);
     } else if (event.kind == "servers_shed") {
         shed_until(started_ms_ + event.at_ms + event.duration_ms);
+    } else if (event.kind == "service_crash") {
+        crash_service(event);
     } else if (event.kind == "routers_kill") {
         const auto count = environment_.routers().size();
         for (std::size_t i = 0; i < count; i += 2) {
@@ -176,11 +179,13 @@
     }
     if (event.kind == "router_kill") {
         add_disturbance(number, event.duration_ms, event.kind);
+        stopped_routers_.insert(number);
         router.child->signal(SIGKILL);
         schedule_step(event.duration_ms, [this, number] {
             auto& dead = *environment_.routers()[number];
             dead.child->wait_for_exit(std::chrono::seconds(5));
             environment_.start(dead);
+            stopped_routers_.erase(number);
             add_disturbance(number, 0, "start");
         });
     } else if (event.kind == "router_pause") {
@@ -192,6 +197,7 @@
         });
     } else if (event.kind == "router_stop") {
         history_.stops.push_back({number, now_ms(), INT64_MAX / 2});
+        stopped_routers_.insert(number);
         router.child->signal(SIGTERM);
         restart_when_ended(number, history_.stops.size() - 1);
     } else {
@@ -215,10 +221,23 @@
         }
         history_.stops[stop_index].ended_ms = now_ms();
         environment_.start(router);
+        stopped_routers_.erase(number);
         add_disturbance(number, 0, "start");
     });
 }
 
+void fault_director::restart_ended_routers() {
+    for (std::size_t i = 0; i < environment_.routers().size(); ++i) {
+        auto& router = *environment_.routers()[i];
+        if (!stopped_routers_.contains(i) && !router.child->is_running()) {
+            own_ends_.push_back("ended: " + router.name + " by itself, at " +
+                                std::to_string(now_ms() - started_ms_));
+            environment_.start(router);
+            add_disturbance(i, 0, "start");
+        }
+    }
+}
+
 // A service whose last servers depart shortly before the end of the faults has
 // none for some seconds after it.
 bool fault_director::would_end_service_late(const std::string& id,
@@ -444,7 +463,7 @@
 #else
     constexpr bool sanitized = false;
 #endif
-    std::vector<std::string> out;
+    auto out = own_ends_;
     for (const auto& router : environment_.routers()) {
         const auto status = testing_support::read_file(
             "/proc/" + std::to_string(router->child->id()) + "/status");
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -62,6 +62,7 @@
 
     void begin(const fault& event);
     void shed_until(std::int64_t end_ms);
+    void crash_service(const fault& event);
     void begin_paths_cut(const fault& event);
     void cut_paths_until(std::int64_t end_ms,
                          const std::set<std::size_t>& routers,
@@ -76,6 +77,7 @@
     void schedule_step(std::int64_t delay_ms, step_function step);
     void add_disturbance(std::size_t router, std::int64_t duration_ms,
                          const std::string& cause);
+    void restart_ended_routers();
     void restart_when_ended(std::size_t router, std::size_t stop_index);
     void publish_next_routes();
     void run_pending_steps();
@@ -100,6 +102,8 @@
     std::size_t next_server_ = 0;
     std::set<std::string> departing_; // servers that are leaving or were killed
     std::set<std::string> paused_servers_;
+    std::set<std::size_t> stopped_routers_; // by a fault; not started yet
+    std::vector<std::string> own_ends_;     // routers that ended by themselves
     std::map<std::string, std::int64_t> added_ms_;
     std::size_t moving_service_ = 0;
     bool restore_pending_ = false;
--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -74,6 +74,24 @@
     }
 }
 
+// A service loses all its servers, early enough for others to take their place.
+void add_service_crashes(const soak_options& options,
+                         std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 3000017;
+    constexpr std::int64_t replacement_ms = 6500;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end = options.length_ms - options.fault_free_ms - replacement_ms;
+    if (draw_between(0, 2) == 0) {
+        return;
+    }
+    for (auto at = draw_between(500, 4000); at < end;
+         at += draw_between(3000, 9000)) {
+        schedule.push_back({at, "service_crash",
+                            static_cast<std::size_t>(draw_between(0, 1000)),
+                            0});
+    }
+}
+
 } // namespace
 
 std::vector<fault> draw_schedule(const soak_options& options) {
@@ -98,6 +116,7 @@
     }
     add_kills_under_shedding(options, schedule);
     add_path_cuts(options, schedule);
+    add_service_crashes(options, schedule);
     std::stable_sort(
         schedule.begin(), schedule.end(),
         [](const fault& a, const fault& b) { return a.at_ms < b.at_ms; });
--- a/test/soak/wide_faults.cpp
+++ b/test/soak/wide_faults.cpp
@@ -1,5 +1,7 @@
 #include "faults.hpp"
 
+#include <csignal>
+
 // Faults of all servers, or of the paths to them, that last.
 namespace soak {
 
@@ -28,6 +30,21 @@
     }
 }
 
+// All servers of one service are lost at once, and their ports refuse
+// connections.
+void fault_director::crash_service(const fault& event) {
+    const auto service = service_name(event.target % options_.services);
+    const auto count = servers_.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        auto& server = environment_.server(servers_[i]);
+        if (server.service == service && !departing_.contains(server.id)) {
+            server.proxy->child->signal(SIGKILL);
+            begin_server_fault(
+                {event.at_ms, "server_kill", i, event.duration_ms});
+        }
+    }
+}
+
 void fault_director::begin_paths_cut(const fault& event) {
     const std::vector<std::string> kinds{"hang", "refuse"};
     const auto count = environment_.routers().size();
--- /dev/null
+++ b/test/users_platform/server_fault_test.cpp
@@ -0,0 +1,114 @@
+#include "installation.hpp"
+
+#include <atomic>
+#include <criterion/criterion.h>
+#include <csignal>
+#include <thread>
+
+// Tests what callers see of routers whose backend servers fail.
+using namespace testing_support;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::unique_ptr<installation> cluster;
+
+void start_cluster() {
+    cluster = std::make_unique<installation>();
+    cluster->publish_routes(
+        {{"/sound/", "one"}, {"/small/", "two", false}, {"/safe/", "two"}});
+    cluster->add_server("one", "s1", {64});
+    cluster->add_server("two", "t1", {16});
+    for (int i = 0; i < 3; ++i) {
+        cluster->add_router();
+    }
+    for (auto& router : cluster->routers()) {
+        cluster->start(*router);
+    }
+    for (auto& router : cluster->routers()) {
+        cr_assert(eventually([&] { return cluster->is_ready(*router); }));
+    }
+}
+
+void stop_cluster() {
+    cluster.reset();
+}
+
+http_request make_request(const router_instance& router,
+                          const std::string& method, const std::string& target,
+                          const std::string& id) {
+    http_request request{router.callers,
+                         method,
+                         target,
+                         {{"Host", "callers.example"},
+                          {"X-Request-Id", id},
+                          {"X-Deadline-Ms", "2000"}}};
+    if (method == "POST") {
+        request.body = "order";
+    }
+    return request;
+}
+
+// Sends requests to each router, one after the other in each of some threads.
+class constant_load {
+public:
+    constant_load(std::string method, std::string target, int callers) {
+        for (const auto& router : cluster->routers()) {
+            for (int i = 0; i < callers; ++i) {
+                threads_.emplace_back(
+                    [this, method, target, i, &instance = *router] {
+                        for (int n = 0; !stopped_; ++n) {
+                            const auto id = target + instance.name +
+                                            std::to_string(i) + "-" +
+                                            std::to_string(n);
+                            const auto response = send_request(
+                                make_request(instance, method, target, id));
+                            ++(response.status == 200 ? served_ : failed_);
+                            std::this_thread::sleep_for(5ms);
+                        }
+                    });
+            }
+        }
+    }
+    constant_load(const constant_load&) = delete;
+    constant_load& operator=(const constant_load&) = delete;
+    ~constant_load() { stop(); }
+
+    void stop() {
+        stopped_ = true;
+        for (auto& thread : threads_) {
+            thread.join();
+        }
+        threads_.clear();
+    }
+    int served() const { return served_; }
+    int failed() const { return failed_; }
+
+private:
+    std::vector<std::thread> threads_;
+    std::atomic<bool> stopped_ = false;
+    std::atomic<int> served_ = 0;
+    std::atomic<int> failed_ = 0;
+};
+
+} // namespace
+
+TestSuite(server_faults, .init = start_cluster, .fini = stop_cluster,
+          .timeout = 90);
+
+// Regression test: routers ended by themselves when the only server of a
+// service crashed, and the requests to other services were lost.
+Test(server_faults, crash_of_the_only_server_other_services_are_served) {
+    constant_load sound("GET", "/sound/x?work=200", 6);
+    constant_load small("POST", "/small/x?work=10", 4);
+    std::this_thread::sleep_for(1s);
+    cluster->server("t1").child->signal(SIGKILL);
+    std::this_thread::sleep_for(2s);
+    sound.stop();
+    small.stop();
+    for (const auto& router : cluster->routers()) {
+        cr_expect(router->child->is_running(), "%s", router->name.c_str());
+    }
+    cr_expect_gt(sound.served(), 100);
+    cr_expect_eq(sound.failed(), 0, "%d of %d", sound.failed(), sound.served());
+}
