Report a connection that fails at once only after start() has returned

What callers would see: if the system refuses a connection at once (no route, no free port, an address that cannot be connected), the pool called `failed` from inside start().

Cause: evhttp calls the completion callback from evhttp_make_request if connect() fails immediately.

Change: a failure during start() is reported from the event loop, as the header promises.

Conclusion: callbacks run only after start() has returned, whatever fails.

--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -75,6 +75,7 @@
     exchange_events events;
     time_point started_at;
     time_point last_activity;
+    bool starting = true; // start() has not returned yet
     bool bytes_sent = false;
     bool head_received = false;
     bool lacks_framing = false; // the end of the body is not declared
@@ -191,6 +192,7 @@
         pending.problem = exchange_problem::connect_failed;
         fail_later(id);
     }
+    pending.starting = false;
     return id;
 }
 
@@ -446,7 +448,11 @@
         if (!pending->head_received && !pending->bytes_sent) {
             pending->problem = exchange_problem::connect_failed;
         }
-        pool->fail(*pending, pending->problem);
+        if (pending->starting) {
+            pool->fail_later(pending->id);
+        } else {
+            pool->fail(*pending, pending->problem);
+        }
         return;
     }
     const auto* connection_header = evhttp_find_header(
