Check the syntax of responses byte by byte

Cause: evhttp reads the status with atoi and the pool trusted it. Ruled out that only the status is concerned: with one wrong byte at each place, control characters, unknown transfer codings, signs in lengths and chunks longer than their size came through as well.

Change: response_syntax checks what arrives before evhttp parses it, so nothing of an invalid response is reported; it fails as answer_malformed. The stand-in server, the soak and the unit tests spoil bytes.

Conclusion: bytes that are no response end the attempt as may have run.

--- a/src/adapters/connection_pool.cpp
+++ b/src/adapters/connection_pool.cpp
@@ -1,5 +1,4 @@
-#include "connection_pool.hpp"
-
+#include "connection_pool_state.hpp"
 #include "lacewingbeam/endpoint.hpp"
 #include "lacewingbeam/number.hpp"
 
@@ -39,50 +38,23 @@
                sizeof tcp_user_timeout_ms);
 }
 
-} // namespace
-
-struct connection_pool::connection {
-    connection_pool* pool = nullptr;
-    std::string address;
-    evhttp_connection* handle = nullptr;
-    exchange* current = nullptr;
-    time_point last_response_at;
-    time_point idle_since;
-    bool socket_configured = false;
-    bool closing = false;
-
-    connection() = default;
-    connection(const connection&) = delete;
-    connection& operator=(const connection&) = delete;
-    ~connection() {
-        if (handle != nullptr) {
-            evhttp_connection_set_closecb(handle, nullptr, nullptr);
-            evhttp_connection_free(handle);
-        }
-    }
+bool accept_last_bytes(response_syntax& syntax, evbuffer* buffer,
+                       std::size_t size) {
+    evbuffer_ptr from;
+    evbuffer_ptr_set(buffer, &from, evbuffer_get_length(buffer) - size,
+                     EVBUFFER_PTR_SET);
+    const auto length = static_cast<ev_ssize_t>(size);
+    const int count = evbuffer_peek(buffer, length, &from, nullptr, 0);
+    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(count));
+    evbuffer_peek(buffer, length, &from, pieces.data(), count);
+    return std::all_of(
+        pieces.begin(), pieces.end(), [&](const evbuffer_iovec& piece) {
+            return syntax.accept(
+                {static_cast<const char*>(piece.iov_base), piece.iov_len});
+        });
+}
 
-    bufferevent* stream() const {
-        return evhttp_connection_get_bufferevent(handle);
-    }
-};
-
-struct connection_pool::exchange {
-    exchange_id id{};
-    connection_pool* pool = nullptr;
-    connection* conn = nullptr;
-    evhttp_request* request = nullptr;
-    evhttp_cmd_type method = EVHTTP_REQ_GET;
-    exchange_events events;
-    time_point started_at;
-    time_point last_activity;
-    bool starting = true; // start() has not returned yet
-    bool bytes_sent = false;
-    bool head_received = false;
-    bool lacks_framing = false; // the end of the body is not declared
-    bool paused = false;
-    bool ended = false; // no further callbacks
-    exchange_problem problem = exchange_problem::connection_lost;
-};
+} // namespace
 
 connection_pool::connection_pool(event_loop& loop, pool_options options)
     : loop_(loop), options_(std::move(options)) {
@@ -146,11 +118,10 @@
                                    const exchange_limits& limits,
                                    exchange_events events) {
     const auto id = exchange_id{next_id_++};
-    auto created = std::make_unique<exchange>();
+    auto created = std::make_unique<exchange>(request.method);
     auto& pending = *created;
     pending.id = id;
     pending.pool = this;
-    pending.method = request.method;
     pending.events = std::move(events);
     pending.started_at = pending.last_activity = loop_.now();
     exchanges_.emplace(id, std::move(created));
@@ -347,15 +318,23 @@
     }
 }
 
+// Runs before evhttp parses the bytes, so nothing of an invalid response is
+// reported.
 void connection_pool::on_input(evbuffer* buffer, const evbuffer_cb_info* info,
                                void* argument) {
     auto* self = static_cast<connection*>(argument);
+    auto* pending = self->current;
+    if (info->n_added == 0 || pending == nullptr) {
+        return;
+    }
     const auto limit = self->pool->options_.max_unprocessed_bytes;
     const bool too_long =
-        info->n_added > 0 && evbuffer_get_length(buffer) > limit;
-    if (too_long && self->current != nullptr && !self->current->paused) {
-        self->current->problem = exchange_problem::malformed;
-        self->pool->fail_later(self->current->id);
+        evbuffer_get_length(buffer) > limit && !pending->paused;
+    if (!accept_last_bytes(pending->syntax, buffer, info->n_added) ||
+        too_long) {
+        pending->malformed = true;
+        pending->problem = exchange_problem::malformed;
+        self->pool->fail_later(pending->id);
     }
 }
 
@@ -376,7 +355,7 @@
 
 int connection_pool::on_head(evhttp_request* request, void* argument) {
     auto* pending = static_cast<exchange*>(argument);
-    if (pending->ended) {
+    if (pending->ended || pending->malformed) {
         return -1;
     }
     auto* pool = pending->pool;
@@ -406,7 +385,7 @@
 
 void connection_pool::on_chunk(evhttp_request* request, void* argument) {
     auto* pending = static_cast<exchange*>(argument);
-    if (pending->ended) {
+    if (pending->ended || pending->malformed) {
         return;
     }
     pending->last_activity = pending->pool->loop_.now();
@@ -422,7 +401,7 @@
 
 void connection_pool::on_error(evhttp_request_error error, void* argument) {
     auto* pending = static_cast<exchange*>(argument);
-    if (pending->ended || pending->lacks_framing) {
+    if (pending->ended || pending->malformed || pending->lacks_framing) {
         return;
     }
     const bool malformed =
@@ -443,9 +422,11 @@
     }
     auto* pool = pending->pool;
     const bool complete = request != nullptr && pending->head_received &&
+                          !pending->malformed &&
                           evhttp_request_get_response_code(request) != 0;
     if (!complete) {
-        if (!pending->head_received && !pending->bytes_sent) {
+        if (!pending->malformed && !pending->head_received &&
+            !pending->bytes_sent) {
             pending->problem = exchange_problem::connect_failed;
         }
         if (pending->starting) {
--- /dev/null
+++ b/src/adapters/response_syntax.cpp
@@ -0,0 +1,203 @@
+#include "response_syntax.hpp"
+
+#include "http_types.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lacewingbeam {
+
+namespace {
+
+// Longer than any head that evhttp accepts.
+constexpr std::size_t max_line_bytes = 65536;
+
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+constexpr int decimal = 10;
+constexpr int hexadecimal = 16;
+
+bool is_digit(char value) {
+    return value >= '0' && value <= '9';
+}
+
+// The characters of field names (RFC 9110, section 5.6.2).
+bool is_token_character(char value) {
+    const bool letter =
+        (value >= 'a' && value <= 'z') || (value >= 'A' && value <= 'Z');
+    return letter || is_digit(value) ||
+           std::string_view("!#$%&'*+-.^_`|~").find(value) !=
+               std::string_view::npos;
+}
+
+bool is_control_character(char value) {
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto code = static_cast<unsigned char>(value);
+    return (code < first_printable && value != '\t') || code == del;
+}
+
+bool has_control_character(std::string_view text) {
+    return std::any_of(text.begin(), text.end(), is_control_character);
+}
+
+std::string_view trim(std::string_view text) {
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
+    return first == std::string_view::npos
+               ? std::string_view()
+               : text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+// The whole text must be digits, without a sign or prefix.
+std::optional<std::uint64_t> parse_digits(std::string_view text, int base) {
+    std::uint64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value, base);
+    const bool whole =
+        !text.empty() && result.ec == std::errc() && result.ptr == end;
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+bool response_syntax::accept(std::string_view bytes) {
+    while (!bytes.empty() && part_ != part::unchecked &&
+           part_ != part::invalid) {
+        const bool in_data =
+            part_ == part::sized_body || part_ == part::chunk_data;
+        bytes = in_data ? accept_data(bytes) : accept_line(bytes);
+    }
+    return part_ != part::invalid;
+}
+
+std::string_view response_syntax::accept_data(std::string_view bytes) {
+    const auto size = std::min<std::uint64_t>(left_, bytes.size());
+    left_ -= size;
+    if (left_ == 0) {
+        part_ = part_ == part::chunk_data ? part::chunk_end : part::unchecked;
+    }
+    return bytes.substr(size);
+}
+
+std::string_view response_syntax::accept_line(std::string_view bytes) {
+    const auto end = bytes.find('\n');
+    line_ += bytes.substr(0, end);
+    if (line_.size() > max_line_bytes) {
+        part_ = part::invalid;
+        return {};
+    }
+    if (end == std::string_view::npos) {
+        return {};
+    }
+    std::string_view line = line_;
+    const bool has_return = line.ends_with('\r');
+    if (has_return) {
+        line.remove_suffix(1);
+    }
+    // After a chunk that is one byte too short, a lone line feed is left.
+    const bool valid = !has_control_character(line) &&
+                       (has_return || part_ != part::chunk_end);
+    part_ = valid ? after(line) : part::invalid;
+    line_.clear();
+    return bytes.substr(end + 1);
+}
+
+response_syntax::part response_syntax::after(std::string_view line) {
+    switch (part_) {
+    case part::status_line:
+        return after_status_line(line);
+    case part::headers:
+        return line.empty() ? after_headers() : after_header(line);
+    case part::trailers:
+        return line.empty() ? part::unchecked : after_header(line);
+    case part::chunk_size:
+        return after_chunk_size(line);
+    default: // the end of a chunk
+        return line.empty() ? part::chunk_size : part::invalid;
+    }
+}
+
+// "HTTP/1.x ddd", and perhaps " " and a reason.
+response_syntax::part
+response_syntax::after_status_line(std::string_view line) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t status_at = 9;
+    constexpr std::size_t status_digits = 3;
+    const auto reason_at = status_at + status_digits;
+    const bool complete =
+        line.size() >= reason_at && line.starts_with(version) &&
+        is_digit(line[version.size()]) && line[status_at - 1] == ' ' &&
+        (line.size() == reason_at || line[reason_at] == ' ');
+    const auto status =
+        complete ? parse_digits(line.substr(status_at, status_digits), decimal)
+                 : std::nullopt;
+    if (!status || *status < first_final_status || *status > last_status) {
+        return part::invalid;
+    }
+    status_ = static_cast<int>(*status);
+    return part::headers;
+}
+
+response_syntax::part response_syntax::after_header(std::string_view line) {
+    const bool continues_last = line.starts_with(' ') || line.starts_with('\t');
+    if (continues_last) {
+        return has_field_ ? part_ : part::invalid;
+    }
+    has_field_ = true;
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    if (colon == std::string_view::npos || name.empty() ||
+        !std::all_of(name.begin(), name.end(), is_token_character)) {
+        return part::invalid;
+    }
+    if (part_ == part::trailers) {
+        return part_;
+    }
+    const auto value = trim(line.substr(colon + 1));
+    if (equal_ignoring_case(name, "Content-Length")) {
+        const auto length = parse_digits(value, decimal);
+        const bool valid = length && (!length_ || *length_ == *length);
+        length_ = length;
+        return valid ? part_ : part::invalid;
+    }
+    if (equal_ignoring_case(name, "Transfer-Encoding")) {
+        const bool valid =
+            !is_chunked_ && equal_ignoring_case(value, "chunked");
+        is_chunked_ = true;
+        return valid ? part_ : part::invalid;
+    }
+    return part_;
+}
+
+response_syntax::part response_syntax::after_headers() {
+    if (length_ && is_chunked_) {
+        return part::invalid;
+    }
+    const bool has_body = !is_head_request_ && status_ != status_no_content &&
+                          status_ != status_not_modified;
+    if (!has_body || (length_ && *length_ == 0)) {
+        return part::unchecked;
+    }
+    if (is_chunked_) {
+        return part::chunk_size;
+    }
+    left_ = length_.value_or(0);
+    return length_ ? part::sized_body : part::unchecked;
+}
+
+response_syntax::part response_syntax::after_chunk_size(std::string_view line) {
+    const auto size =
+        parse_digits(trim(line.substr(0, line.find(';'))), hexadecimal);
+    if (!size) {
+        return part::invalid;
+    }
+    left_ = *size;
+    has_field_ = false;
+    return *size == 0 ? part::trailers : part::chunk_data;
+}
+
+} // namespace lacewingbeam
--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -141,6 +141,9 @@
     buffer_.erase(0, head_end + 4);
     constexpr std::size_t status_at = 9; // after "HTTP/1.1 "
     response.status = std::atoi(head.c_str() + status_at);
+    response.has_valid_status_line =
+        head.starts_with("HTTP/1.1 " + std::to_string(response.status) + " ") &&
+        response.status >= 200 && response.status <= 599;
     auto headers = read_headers(head);
     response.request_id = headers["x-request-id"];
     response.stamp = headers["x-response-stamp"];
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -22,6 +22,7 @@
 struct call_response {
     call_outcome outcome = call_outcome::not_sent;
     int status = 0;
+    bool has_valid_status_line = false;
     std::string request_id;
     std::string stamp;
     std::string body;
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -309,6 +309,8 @@
             set({{"extra_answers", count}});
         } else if (event.kind == "answers_other") {
             set({{"foreign_answers", count}});
+        } else if (event.kind == "answers_spoiled") {
+            set({{"spoiled_answers", count}});
         } else {
             set({{"encoded_answers", count}, {"unsigned_answers", count}});
         }
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -110,8 +110,13 @@
 void ledger::check_responses(report& out) const {
     for (const auto& [id, call] : calls_) {
         const auto& response = call.response;
-        if (response.outcome != call_outcome::answered ||
-            response.status != 200) {
+        if (response.outcome != call_outcome::answered) {
+            continue;
+        }
+        if (!response.has_valid_status_line) {
+            out.push_back("malformed: " + describe(call));
+        }
+        if (response.status != 200) {
             continue;
         }
         const bool matches =
--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -92,6 +92,20 @@
     }
 }
 
+// Servers send bytes that are no response.
+void add_spoiled_answers(const soak_options& options,
+                         std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 4000037;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end = options.length_ms - options.fault_free_ms;
+    for (auto at = draw_between(500, 3000); at < end;
+         at += draw_between(500, 3000)) {
+        schedule.push_back({at, "answers_spoiled",
+                            static_cast<std::size_t>(draw_between(0, 1000)),
+                            draw_between(min_duration_ms, max_duration_ms)});
+    }
+}
+
 } // namespace
 
 std::vector<fault> draw_schedule(const soak_options& options) {
@@ -117,6 +131,7 @@
     add_kills_under_shedding(options, schedule);
     add_path_cuts(options, schedule);
     add_service_crashes(options, schedule);
+    add_spoiled_answers(options, schedule);
     std::stable_sort(
         schedule.begin(), schedule.end(),
         [](const fault& a, const fault& b) { return a.at_ms < b.at_ms; });
--- a/test/standins/json_server.cpp
+++ b/test/standins/json_server.cpp
@@ -173,6 +173,17 @@
     bufferevent_write(connection, extra_bytes.data(), extra_bytes.size());
 }
 
+void request::send_raw_and_close(const std::string& bytes) {
+    if (handle_ == nullptr) {
+        return;
+    }
+    auto* connection = evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(handle_));
+    send(bufferevent_getfd(connection), bytes.data(), bytes.size(),
+         MSG_NOSIGNAL);
+    close_connection();
+}
+
 void request::start_reply(int status) {
     if (handle_ != nullptr) {
         evhttp_send_reply_start(handle_, status, nullptr);
--- a/test/standins/json_server.hpp
+++ b/test/standins/json_server.hpp
@@ -47,6 +47,8 @@
     void reply_with_extra_bytes(int status, const std::string& body,
                                 const std::string& extra_bytes);
 
+    // Sends bytes that fit into the socket's buffer instead of a response.
+    void send_raw_and_close(const std::string& bytes);
     void start_reply(int status);
     void send_chunk(const std::string& chunk);
     void finish_reply();
--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -45,6 +45,7 @@
     int unsigned_answers = 0; // without a signature
     int stale_refusals = 0;   // an earlier refusal, while the request runs
     bool stale_refusals_have_id = true;
+    int spoiled_answers = 0; // one byte of the head is wrong
 };
 
 struct job {
@@ -58,6 +59,28 @@
 };
 using job_ptr = std::shared_ptr<job>;
 
+// Returns a response in which one byte of the status line or of the length is
+// wrong, so that it is none. The byte depends on the request only.
+std::string make_spoiled_response(const std::string& request_id,
+                                  const std::string& body) {
+    const std::string status = "HTTP/1.1 200";
+    const std::string length = std::to_string(body.size());
+    std::string text =
+        status + " OK\r\nX-Request-Id: " + request_id +
+        "\r\nX-Response-Stamp: " +
+        testing_support::expected_stamp(request_id, body.size()) +
+        "\r\nContent-Length: ";
+    const auto length_at = text.size();
+    text += length + "\r\n\r\n" + body;
+    const auto hash = std::hash<std::string>{}(request_id);
+    const auto place = hash % (status.size() + length.size());
+    const auto at =
+        place < status.size() ? place : length_at + place - status.size();
+    const std::string wrong = "Ox:;\x01";
+    text[at] = wrong[hash / 64 % wrong.size()];
+    return text;
+}
+
 bool consume_one(int& count) {
     if (count <= 0) {
         return false;
@@ -156,6 +179,8 @@
             body.value("encoded_answers", behaviour_.encoded_answers);
         behaviour_.unsigned_answers =
             body.value("unsigned_answers", behaviour_.unsigned_answers);
+        behaviour_.spoiled_answers =
+            body.value("spoiled_answers", behaviour_.spoiled_answers);
     }
     request->reply_json(ok, {{"probes", probes_}, {"running", running_}});
 }
@@ -258,6 +283,13 @@
         request->reply(unavailable, "full");
         return;
     }
+    constexpr std::size_t max_spoiled_bytes = 10000;
+    if (body.size() <= max_spoiled_bytes &&
+        consume_one(behaviour_.spoiled_answers)) {
+        request->send_raw_and_close(
+            make_spoiled_response(item->request_id, body));
+        return;
+    }
     const bool foreign = consume_one(behaviour_.foreign_answers);
     request->add_header("X-Request-Id", foreign ? "another" : item->request_id);
     if (!consume_one(behaviour_.unsigned_answers)) {
--- a/test/users_platform/server_fault_test.cpp
+++ b/test/users_platform/server_fault_test.cpp
@@ -112,3 +112,32 @@
     cr_expect_gt(sound.served(), 100);
     cr_expect_eq(sound.failed(), 0, "%d of %d", sound.failed(), sound.served());
 }
+
+// Regression test: a response whose status line had a wrong byte ("2O0") was
+// passed on to the caller with a status of 2.
+Test(server_faults, spoiled_responses_are_not_passed_on) {
+    installation::control(cluster->server("t1").address,
+                          {{"spoiled_answers", 1000}});
+    const auto& router = *cluster->routers().at(0);
+    for (int i = 0; i < 60; ++i) {
+        const auto id = "spoiled" + std::to_string(i);
+        const bool repeatable = i % 2 == 0;
+        const std::string line = repeatable ? "GET /safe/x" : "POST /small/x";
+        const auto received = send_raw(
+            router.callers,
+            line +
+                " HTTP/1.1\r\nHost: callers.example\r\nConnection: "
+                "close\r\nX-Request-Id: " +
+                id + "\r\nX-Deadline-Ms: 2000\r\n" +
+                (repeatable ? "\r\n" : "Content-Length: 5\r\n\r\norder"),
+            3s);
+        cr_assert(received.starts_with("HTTP/1.1 50"), "%s: %.40s", id.c_str(),
+                  received.c_str());
+    }
+    installation::control(cluster->server("t1").address,
+                          {{"spoiled_answers", 0}});
+    cr_assert(eventually([&] {
+        return send_request(make_request(router, "GET", "/safe/x", "after"))
+                   .status == 200;
+    }));
+}
