Answer every request before a stopping router exits

Cause: the router did not know when the process exits; requests kept their own deadlines and were placed until the loop stopped. Ruled out: answers that were written and not sent (there is no log line of an answer).

Change: begin_stop tells the router the time of the last answers, 0.9 of the grace time.

Before: stop_under_overload_answers_every_request failed (closed connections).

Conclusion: no request that was read ends without an answer in a planned stop.

--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -116,9 +116,10 @@
     bool on_server_pause(std::string_view server, duration pause,
                          time_point now);
 
-    // Refuses all new requests, since the instance would exit before they
-    // complete.
-    void stop_accepting() { stopping_ = true; }
+    // The instance takes no requests from `refuse_from` on, and gives the last
+    // answers at `ends_at`. Requests that usually take longer than the time
+    // left are refused instead of sent; what runs at the end has no answer.
+    void begin_stop(time_point refuse_from, time_point ends_at);
 
     actions submit(const routed_request& request, time_point now);
 
@@ -207,12 +208,17 @@
         std::vector<std::string> tried;
         std::vector<probe_id> pending_probes;
         std::vector<attempt_id> running_attempts;
-        std::optional<time_point> decide_at;  // probe timeout
-        std::optional<time_point> recheck_at; // next try while waiting
+        std::optional<time_point> decide_at;   // probe timeout
+        std::optional<time_point> recheck_at;  // next try while waiting
+        std::optional<time_point> too_late_at; // to be sent before the stop
         std::optional<may_have_run_reason> lost_reason;
         std::optional<not_run_reason> refused_reason;
     };
 
+    // Retries reach another instance, so callers may retry soon.
+    static constexpr duration stopping_retry_after =
+        std::chrono::milliseconds(20);
+
     // Silent servers without a response between them that show a lost path.
     static constexpr std::size_t silent_servers_of_service = 3;
     static constexpr std::size_t silent_servers_of_all = 4;
@@ -305,6 +311,8 @@
     void on_path_lost(const std::string& service, std::size_t silent,
                       time_point now, actions& out);
     void place_unsent_again(time_point now, actions& out);
+    void limit_by_stop(request_entry& request);
+    bool end_if_too_late(request_entry& request, time_point now, actions& out);
     void on_server_attempt_ended(request_entry& request,
                                  const attempt_entry& attempt, attempt_id id,
                                  const attempt_outcome& result, time_point now,
@@ -372,7 +380,11 @@
     std::map<std::string, peer_state> peer_states_; // by address
     std::uint64_t next_attempt_ = 1;
     std::uint64_t next_probe_ = 1;
-    bool stopping_ = false;
+    struct stop_times {
+        time_point refuse_from;
+        time_point ends_at;
+    };
+    std::optional<stop_times> stop_;
 };
 
 } // namespace lacewingbeam
--- a/src/decisions/placing/request_placing.cpp
+++ b/src/decisions/placing/request_placing.cpp
@@ -205,6 +205,9 @@
             self.send_probes(request, policy, now, out);
         }
     };
+    if (end_if_too_late(request, now, out)) {
+        return;
+    }
     if (is_path_lost(request.service)) {
         if (request.forwarded && request.may_have_arrived == 0) {
             finish(request, not_run{not_run_reason::no_path}, std::nullopt,
@@ -431,7 +434,8 @@
 void request_router::place(request_entry& request, const scored_server& chosen,
                            std::size_t count, time_point now, actions& out) {
     const bool running = !request.running_attempts.empty();
-    if (refuse_if_quarantined(request, now, out)) {
+    if (end_if_too_late(request, now, out) ||
+        refuse_if_quarantined(request, now, out)) {
         return;
     }
     const bool may_send = request.retry == retry_policy::retryable ||
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -36,9 +36,6 @@
 // How long a request waits while the routes may be outdated.
 constexpr duration confirmation_wait = milliseconds(150);
 
-// Retries reach another instance, so callers may retry soon.
-constexpr duration stopping_retry_after = milliseconds(20);
-
 } // namespace
 
 request_router::request_router(const directory& known, router_options options,
@@ -96,7 +93,7 @@
             finish_action{request.id, not_run{reason}, std::nullopt});
     };
     const auto* table = directory_.routing();
-    if (stopping_) {
+    if (stop_ && now >= stop_->refuse_from) {
         out.emplace_back(finish_action{
             request.id, not_run{not_run_reason::instance_stopping},
             stopping_retry_after});
@@ -142,6 +139,7 @@
     }
     entry.deadline = now + limit;
     entry.objective = chosen->objective.value_or(limit / objective_divisor);
+    limit_by_stop(entry);
     entry.forwarded = request.forwarded;
     if (!request.forwarded) { // the instance that forwards it has counted it
         repeats_of(entry.service, now).on_request(now);
@@ -390,6 +388,9 @@
 
 time_point request_router::due_of(const request_entry& request) const {
     auto due = request.deadline;
+    if (request.too_late_at && request.running_attempts.empty()) {
+        due = std::min(due, *request.too_late_at);
+    }
     if (request.decide_at) {
         due = std::min(due, *request.decide_at);
     }
@@ -448,6 +449,8 @@
                 finish(request, not_run{not_run_reason::deadline_passed},
                        std::nullopt, out);
             }
+        } else if (end_if_too_late(request, now, out)) {
+            continue;
         } else if (request.decide_at && now >= *request.decide_at) {
             decide(request, now, out);
         } else if (request.recheck_at && now >= *request.recheck_at) {
--- a/src/router/request_gateway.cpp
+++ b/src/router/request_gateway.cpp
@@ -98,8 +98,10 @@
         loop.make_timer([this] { execute_all(router_.on_tick(loop_.now())); });
 }
 
-void request_gateway::begin_stop() {
+void request_gateway::begin_stop(time_point refuse_from, time_point ends_at) {
     stopping_ = true;
+    router_.begin_stop(refuse_from, ends_at);
+    schedule();
     pool_.disable_keep_alive();
     peer_pool_.disable_keep_alive();
 }
--- a/src/router/request_gateway.hpp
+++ b/src/router/request_gateway.hpp
@@ -32,8 +32,9 @@
     void on_request(const std::shared_ptr<incoming_request>& incoming);
 
     // Makes every later response close its connection, and stops keeping
-    // connections to backend servers open.
-    void begin_stop();
+    // connections to backend servers open. The times are those of
+    // request_router::begin_stop.
+    void begin_stop(time_point refuse_from, time_point ends_at);
 
     // Decides requests that waited for the directory.
     void on_directory_confirmed();
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -38,7 +38,9 @@
 // The time within which the kernel sends the rest of the last response.
 constexpr duration socket_flush_time = milliseconds(300);
 
-// The fraction of the time between SIGTERM and SIGKILL that may be used.
+// Fractions of the time between SIGTERM and SIGKILL: until the last requests
+// are answered, and until the process exits.
+constexpr double answering_fraction = 0.9;
 constexpr double grace_fraction = 0.95;
 
 std::uint64_t generate_seed() {
@@ -286,7 +288,10 @@
     stopping_since_ = loop_.now();
     log_event(event_number::stopping,
               {{"requests", std::to_string(gateway_->request_count())}});
-    gateway_->begin_stop();
+    gateway_->begin_stop(
+        *stopping_since_ + min_stop_time,
+        *stopping_since_ +
+            from_seconds(settings_.router.stop_grace * answering_fraction));
     sync_->begin_stop();
     stop_timer_ = loop_.every(stop_check_interval, [this] { stop_if_done(); });
 }
@@ -301,9 +306,6 @@
         gateway_->request_count() == 0 &&
         now - std::max(last_unsent_at_, gateway_->last_finished_at()) >
             socket_flush_time;
-    if (elapsed > min_stop_time) {
-        router_->stop_accepting();
-    }
     const auto grace =
         from_seconds(settings_.router.stop_grace * grace_fraction);
     if ((elapsed > min_stop_time && idle) || elapsed > grace) {
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -67,6 +67,8 @@
             store_proxies_[i % store_proxies_.size()]->address);
     }
     for (auto& router : environment_.routers()) {
+        // Callers wait for half of it, so requests wait when it ends.
+        environment_.write_settings(*router, "[router]\nstop_grace = 4\n");
         environment_.start(*router);
     }
     for (auto& router : environment_.routers()) {
@@ -150,6 +152,8 @@
         begin_paths_cut(event);
     } else if (event.kind == "servers_shed") {
         shed_until(started_ms_ + event.at_ms + event.duration_ms);
+    } else if (event.kind == "servers_slow") {
+        slow_until(started_ms_ + event.at_ms + event.duration_ms);
     } else if (event.kind == "service_crash") {
         crash_service(event);
     } else if (event.kind == "routers_kill") {
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -62,6 +62,7 @@
 
     void begin(const fault& event);
     void shed_until(std::int64_t end_ms);
+    void slow_until(std::int64_t end_ms);
     void crash_service(const fault& event);
     void begin_paths_cut(const fault& event);
     void cut_paths_until(std::int64_t end_ms,
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -23,6 +23,9 @@
 // Requests that arrive at the end of a stop may be refused.
 constexpr std::int64_t stop_accept_ms = 3000;
 
+// A request that is read has an answer, or its connection ends sooner.
+constexpr std::int64_t loss_slack_ms = 200;
+
 constexpr double min_served_share = 0.98;
 
 std::string describe(const call_record& call) {
@@ -253,16 +256,20 @@
 }
 
 // A planned stop of an undisturbed router must not cut the response to a
-// request that it has forwarded.
+// request that it has forwarded, nor leave one without an answer that it has
+// read. One that crosses the close of its connection ends at once.
 void ledger::check_stops(report& out) const {
     for (const auto& stop : stops) {
         for (const auto& [id, call] : calls_) {
             const bool during_stop =
                 call.router == stop.router && call.ended_ms >= stop.at_ms &&
-                call.sent_ms <= stop.at_ms + stop_accept_ms &&
+                call.sent_ms <= stop.ended_ms &&
                 call.ended_ms <= stop.ended_ms + response_slack_ms;
+            const bool forwarded =
+                runs_of(id) > 0 && call.sent_ms <= stop.at_ms + stop_accept_ms;
+            const bool read = call.ended_ms - call.sent_ms > loss_slack_ms;
             if (during_stop && call.response.outcome == call_outcome::closed &&
-                runs_of(id) > 0 &&
+                (forwarded || read) &&
                 is_undisturbed(call.router, stop.at_ms - disturbance_margin_ms,
                                stop.ended_ms)) {
                 out.push_back("stop: " + describe(call) + " was cut");
--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -106,6 +106,24 @@
     }
 }
 
+// A router stops while requests wait for slots.
+void add_busy_stops(const soak_options& options, std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 5000011;
+    constexpr std::int64_t stop_ms = 4500;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end = options.length_ms - options.fault_free_ms - stop_ms;
+    if (draw_between(0, 2) == 0) {
+        return;
+    }
+    for (auto at = draw_between(500, 4000); at < end;
+         at += stop_ms + draw_between(500, 4000)) {
+        schedule.push_back({at, "servers_slow", 0, stop_ms});
+        schedule.push_back({at + draw_between(0, 1000), "router_stop",
+                            static_cast<std::size_t>(draw_between(0, 1000)),
+                            0});
+    }
+}
+
 } // namespace
 
 std::vector<fault> draw_schedule(const soak_options& options) {
@@ -132,6 +150,7 @@
     add_path_cuts(options, schedule);
     add_service_crashes(options, schedule);
     add_spoiled_answers(options, schedule);
+    add_busy_stops(options, schedule);
     std::stable_sort(
         schedule.begin(), schedule.end(),
         [](const fault& a, const fault& b) { return a.at_ms < b.at_ms; });
--- a/test/soak/wide_faults.cpp
+++ b/test/soak/wide_faults.cpp
@@ -30,6 +30,26 @@
     }
 }
 
+// Requests queue up at all routers.
+void fault_director::slow_until(std::int64_t end_ms) {
+    constexpr std::int64_t step_ms = 500;
+    constexpr int slowness = 30;
+    const bool over = now_ms() >= end_ms;
+    for (const auto& id : servers_) {
+        const auto& server = environment_.server(id);
+        if (server.child->is_running() && !paused_servers_.contains(id)) {
+            testing_support::installation::control(
+                server.address, {{"slowness", over ? 1 : slowness},
+                                 {"slots", over ? server.slots : 1}});
+        }
+    }
+    if (!over || !paused_servers_.empty()) {
+        schedule_step(
+            std::min(step_ms, std::max<std::int64_t>(50, end_ms - now_ms())),
+            [this, end_ms] { slow_until(end_ms); });
+    }
+}
+
 // All servers of one service are lost at once, and their ports refuse
 // connections.
 void fault_director::crash_service(const fault& event) {
--- a/test/unit/request_lifetime_test.cpp
+++ b/test/unit/request_lifetime_test.cpp
@@ -30,8 +30,13 @@
     }
 
     void run(std::size_t events) {
+        const auto stop_after = draw(2 * events);
         for (std::size_t i = 0; i < events; ++i) {
             now_ += milliseconds(draw(12));
+            if (i == stop_after) {
+                ends_at_ = now_ + milliseconds(draw(1500));
+                router_.begin_stop(now_ + milliseconds(draw(500)), *ends_at_);
+            }
             step();
             check_count();
         }
@@ -236,6 +241,7 @@
         probes_[action.id] = action.server;
     }
     void note(const send_action& action) {
+        cr_assert(!ends_at_ || now_ + action.time_left <= *ends_at_);
         attempts_[action.attempt] = {static_cast<std::uint64_t>(action.call),
                                      action.server};
     }
@@ -268,6 +274,11 @@
     }
 
     void end_all() {
+        if (ends_at_ && now_ < *ends_at_) {
+            now_ = *ends_at_;
+            execute(router_.on_tick(now_));
+            cr_assert_eq(router_.requests(), 0);
+        }
         for (int i = 0; i < 400 && !open_.empty(); ++i) {
             now_ += milliseconds(20);
             execute(router_.on_tick(now_));
@@ -281,7 +292,8 @@
     std::vector<std::string> server_ids_;
     request_router router_;
     time_point now_;
-    std::size_t failing_ = 0; // the service whose servers fail
+    std::optional<time_point> ends_at_; // once it stops
+    std::size_t failing_ = 0;           // the service whose servers fail
     std::uint64_t next_call_ = 1;
     std::set<std::uint64_t> open_;
     std::map<probe_id, std::string> probes_;
--- a/test/unit/router_test.cpp
+++ b/test/unit/router_test.cpp
@@ -362,7 +362,7 @@
 // process had to exit.
 Test(router, stop_refuses_late_arrivals) {
     router_fixture fixture({});
-    fixture.router.stop_accepting();
+    fixture.router.begin_stop(fixture.now, fixture.now + seconds(2));
     const auto out = fixture.submit(1);
     cr_assert_eq(std::get<not_run>(outcome_of(out)).reason,
                  not_run_reason::instance_stopping);
--- a/test/users_platform/routed_server.cpp
+++ b/test/users_platform/routed_server.cpp
@@ -46,6 +46,7 @@
     int stale_refusals = 0;   // an earlier refusal, while the request runs
     bool stale_refusals_have_id = true;
     int spoiled_answers = 0; // one byte of the head is wrong
+    int slowness = 1;        // work takes this many times as long
 };
 
 struct job {
@@ -181,6 +182,8 @@
             body.value("unsigned_answers", behaviour_.unsigned_answers);
         behaviour_.spoiled_answers =
             body.value("spoiled_answers", behaviour_.spoiled_answers);
+        behaviour_.slowness = body.value("slowness", behaviour_.slowness);
+        behaviour_.slots = body.value("slots", behaviour_.slots);
     }
     request->reply_json(ok, {{"probes", probes_}, {"running", running_}});
 }
@@ -252,7 +255,7 @@
     item->running = true;
     ++running_;
     std::cout << "run " << item->request_id << " " << now_ms() << std::endl;
-    standin::run_after(milliseconds(item->work_ms),
+    standin::run_after(milliseconds(item->work_ms * behaviour_.slowness),
                        [this, item] { finish_job(item); });
 }
 
--- a/test/users_platform/server_fault_test.cpp
+++ b/test/users_platform/server_fault_test.cpp
@@ -1,5 +1,6 @@
 #include "installation.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <criterion/criterion.h>
 #include <csignal>
@@ -15,8 +16,11 @@
 
 void start_cluster() {
     cluster = std::make_unique<installation>();
-    cluster->publish_routes(
-        {{"/sound/", "one"}, {"/small/", "two", false}, {"/safe/", "two"}});
+    cluster->publish_routes({
+        {"/sound/", "one"},
+        {"/small/", "two", false},
+        {"/safe/", "two"},
+    });
     cluster->add_server("one", "s1", {64});
     cluster->add_server("two", "t1", {16});
     for (int i = 0; i < 3; ++i) {
@@ -141,3 +145,44 @@
                    .status == 200;
     }));
 }
+
+// Regression test: requests that waited for a slot when a stopping router
+// exited ended with a closed connection.
+Test(server_faults, stop_under_overload_answers_every_request) {
+    cluster->add_server("three", "u1", {2}); // serves 10 requests a second
+    cluster->publish_routes({{"/queue/", "three", false, 4000, 400}});
+    const auto& router = *cluster->routers().at(0);
+    cr_assert(eventually([&] {
+        return send_request(make_request(router, "POST", "/queue/x", "first"))
+                   .status == 200;
+    }));
+    std::vector<std::future<http_response>> pending;
+    constexpr auto gap = 66ms;
+    constexpr int before = 45;
+    constexpr int after = 42; // the router takes requests for 3 s
+    for (int i = 0; i < before + after; ++i) {
+        if (i == before) {
+            router.child->signal(SIGTERM);
+        }
+        auto request = make_request(router, "POST", "/queue/x?work=200",
+                                    "stop" + std::to_string(i));
+        request.headers["X-Deadline-Ms"] = "4000";
+        pending.push_back(send_request_async(request));
+        std::this_thread::sleep_for(gap);
+    }
+    std::map<int, int> counts;
+    for (auto& item : pending) {
+        ++counts[item.get().status];
+    }
+    cr_expect_eq(counts[0], 0, "%d closed", counts[0]);
+    cr_expect_eq(counts[200] + counts[503], before + after);
+    cr_expect_gt(counts[503], 0);
+    cr_assert(router.child->wait_for_exit(8s));
+    cr_assert_eq(router.child->exit_code(), 0);
+    const auto lines = cluster->server("u1").child->take_lines();
+    const auto runs =
+        std::count_if(lines.begin(), lines.end(), [](const auto& line) {
+            return line.starts_with("run stop");
+        });
+    cr_expect_eq(runs, counts[200]);
+}
