Bound how often a suspected request is sent at once

Cause: losses less than 0.4 s apart count once, and nothing bounded the attempts under way before a loss is known. Ruled out: late messages between instances (they arrive within the burst) and acquittal by other callers (nobody else reads the path). Counting each loss alone would refuse innocent requests whose servers fail together.

Change: three servers lost together make a request suspected; a suspected request is sent by three instances, one attempt at a time each; four servers lost in two events refuse it. A request completed on an instance in the last 10 s is not accused there, and acquitted elsewhere. The messages are the same.

Conclusion: after the first burst at most three attempts reach servers.

--- a/include/lacewingbeam/request_quarantine.hpp
+++ b/include/lacewingbeam/request_quarantine.hpp
@@ -47,6 +47,11 @@
     // and all instances are told of it.
     static constexpr std::size_t losses_to_suspect = 2;
 
+    // Servers lost at almost the same time from which on a request is suspected
+    // as well, and refused with the next loss: it may have been sent to all of
+    // them at once.
+    static constexpr std::size_t servers_to_suspect = 3;
+
     struct outgoing_report {
         std::string peer;
         suspect_report report;
@@ -63,6 +68,15 @@
     reports on_report(const std::string& from, const suspect_report& report,
                       time_point now);
 
+    // The request was completed. Losses soon afterwards do not count.
+    void note_completed(request_fingerprint request, time_point now);
+
+    // A suspected request is sent by a few instances only, one attempt at a
+    // time each, until it is completed or refused. may_try tells whether this
+    // instance is one of them.
+    bool is_suspected(request_fingerprint request, time_point now) const;
+    bool may_try(request_fingerprint request) const;
+
     // Returns true if responses of servers may still refute a loss.
     bool awaits_signs_of_life(time_point now) const;
 
@@ -102,6 +116,11 @@
 
     static std::vector<server_fingerprint> events_of(const loss_map& losses);
     static std::size_t count_events(const loss_map& losses);
+    static std::size_t count_servers(const loss_map& losses);
+    static bool accuses(const loss_map& losses);
+    static bool convicts(const loss_map& losses);
+    static time_point last_loss(const loss_map& losses);
+    bool completed_lately(request_fingerprint request, time_point now) const;
     static server_fingerprint least_telling(const loss_map& losses);
     static time_point refused_until(const suspect& entry);
     static level level_of(const suspect& entry, time_point now);
@@ -125,6 +144,15 @@
     std::vector<std::string> peers_;
     std::map<request_fingerprint, suspect> suspects_;
     time_point last_loss_at_;
+
+    // Completed requests; each place keeps the last one that falls into it.
+    struct completion {
+        request_fingerprint request = 0;
+        time_point at;
+    };
+    static constexpr std::size_t remembered_completions = 2048;
+    std::vector<completion> completions_ =
+        std::vector<completion>(remembered_completions);
 };
 
 } // namespace lacewingbeam
--- a/include/lacewingbeam/request_router.hpp
+++ b/include/lacewingbeam/request_router.hpp
@@ -295,6 +295,8 @@
     void release_repeat(request_entry& request);
     void refuse(request_entry& request, not_run_reason reason, time_point now,
                 actions& out);
+    std::optional<duration> refusal_of(request_fingerprint fingerprint,
+                                       time_point now);
     bool refuse_if_quarantined(request_entry& request, time_point now,
                                actions& out);
     server_fingerprint current_run_of(const std::string& server) const;
--- a/src/decisions/placing/request_quarantine.cpp
+++ b/src/decisions/placing/request_quarantine.cpp
@@ -34,6 +34,12 @@
 // have started with it.
 constexpr std::size_t informants = 8;
 
+// Instances that send a suspected request.
+constexpr std::size_t triers = 3;
+
+// A request that was completed so recently does not crash its servers.
+constexpr duration completion_memory = seconds(10);
+
 constexpr std::size_t all_peers_limit = 24;
 constexpr std::size_t relay_fan_out = 6;
 
@@ -75,13 +81,60 @@
     return events_of(losses).size();
 }
 
+std::size_t request_quarantine::count_servers(const loss_map& losses) {
+    return static_cast<std::size_t>(
+        std::count_if(losses.begin(), losses.end(),
+                      [](const auto& item) { return !item.second.refuted; }));
+}
+
+bool request_quarantine::accuses(const loss_map& losses) {
+    return count_events(losses) >= losses_to_suspect ||
+           count_servers(losses) >= servers_to_suspect;
+}
+
+bool request_quarantine::convicts(const loss_map& losses) {
+    const auto events = count_events(losses);
+    return events >= losses_to_refuse ||
+           (events >= losses_to_suspect &&
+            count_servers(losses) > servers_to_suspect);
+}
+
+time_point request_quarantine::last_loss(const loss_map& losses) {
+    time_point last{};
+    for (const auto& [server, item] : losses) {
+        last = item.refuted ? last : std::max(last, item.at);
+    }
+    return last;
+}
+
+void request_quarantine::note_completed(request_fingerprint request,
+                                        time_point now) {
+    completions_[request % completions_.size()] = {request, now};
+}
+
+bool request_quarantine::completed_lately(request_fingerprint request,
+                                          time_point now) const {
+    const auto& last = completions_[request % completions_.size()];
+    return last.request == request && now - last.at <= completion_memory;
+}
+
+bool request_quarantine::is_suspected(request_fingerprint request,
+                                      time_point now) const {
+    const auto found = suspects_.find(request);
+    return found != suspects_.end() && accuses(found->second.losses) &&
+           now - last_loss(found->second.losses) < min_refusal;
+}
+
+bool request_quarantine::may_try(request_fingerprint request) const {
+    return rank_for(request, own_) < triers;
+}
+
 request_quarantine::level request_quarantine::level_of(const suspect& entry,
                                                        time_point now) {
     if (refused_until(entry) > now) {
         return level::refused;
     }
-    return count_events(entry.losses) >= losses_to_suspect ? level::suspected
-                                                           : level::known;
+    return accuses(entry.losses) ? level::suspected : level::known;
 }
 
 bool request_quarantine::awaits_signs_of_life(time_point now) const {
@@ -183,7 +236,8 @@
     auto& entry = suspect_of(request, now);
     const auto before = level_of(entry, now);
     entry.changed_at = now;
-    const bool explained = is_explained(request, server, now);
+    const bool explained =
+        completed_lately(request, now) || is_explained(request, server, now);
     return add_loss(entry, server, now, explained)
                ? tell(request, before, true, now)
                : reports{};
@@ -240,6 +294,9 @@
         return {};
     }
     entry.changed_at = now;
+    if (accuses(entry.losses) && completed_lately(report.request, now)) {
+        return on_completed(report.request, now);
+    }
     if (before == level_of(entry, now)) {
         // A sender that sends such a request was cut off when it was told.
         const bool informs =
@@ -257,8 +314,7 @@
                                     time_point now) const {
     reports out;
     for (const auto& [request, entry] : suspects_) {
-        if (count_events(entry.losses) >= losses_to_suspect &&
-            rank_for(request, own_) < informants) {
+        if (accuses(entry.losses) && rank_for(request, own_) < informants) {
             out.push_back({peer, to_report(request, entry, now)});
         }
     }
@@ -266,17 +322,13 @@
 }
 
 time_point request_quarantine::refused_until(const suspect& entry) {
-    const auto events = count_events(entry.losses);
-    if (events < losses_to_refuse) {
+    if (!convicts(entry.losses)) {
         return time_point{};
     }
-    time_point last{};
-    for (const auto& [server, item] : entry.losses) {
-        last = item.refuted ? last : std::max(last, item.at);
-    }
+    const auto events = std::max(count_events(entry.losses), losses_to_refuse);
     const auto doublings =
         std::min<std::size_t>(max_doublings, events - losses_to_refuse);
-    return last + min_refusal * (1U << doublings);
+    return last_loss(entry.losses) + min_refusal * (1U << doublings);
 }
 
 std::optional<duration>
@@ -295,10 +347,7 @@
     if (found == suspects_.end()) {
         return 0;
     }
-    const auto& losses = found->second.losses;
-    return static_cast<std::size_t>(
-        std::count_if(losses.begin(), losses.end(),
-                      [](const auto& item) { return !item.second.refuted; }));
+    return count_servers(found->second.losses);
 }
 
 std::vector<request_fingerprint>
--- a/src/decisions/placing/request_refusing.cpp
+++ b/src/decisions/placing/request_refusing.cpp
@@ -11,6 +11,9 @@
 // Longer pauses are taken for a mistake.
 constexpr duration max_pause = std::chrono::hours(1);
 
+// Time for an instance to complete a suspected request, or lose it.
+constexpr duration trial_time = std::chrono::seconds(1);
+
 } // namespace
 
 bool request_router::on_server_leaving(std::string_view server,
@@ -84,9 +87,29 @@
                 (known == nullptr ? std::string() : known->info.started_at));
 }
 
+// Returns for how long a request of this fingerprint must not be sent, or
+// nullopt if it may be.
+std::optional<duration>
+request_router::refusal_of(request_fingerprint fingerprint, time_point now) {
+    if (const auto refused = quarantine_.refused_for(fingerprint, now)) {
+        return refused;
+    }
+    if (!quarantine_.is_suspected(fingerprint, now)) {
+        return std::nullopt;
+    }
+    const bool running =
+        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
+            return item.second.fingerprint == fingerprint &&
+                   !item.second.running_attempts.empty();
+        });
+    return running || !quarantine_.may_try(fingerprint)
+               ? std::optional(trial_time)
+               : std::nullopt;
+}
+
 bool request_router::refuse_if_quarantined(request_entry& request,
                                            time_point now, actions& out) {
-    const auto refused = quarantine_.refused_for(request.fingerprint, now);
+    const auto refused = refusal_of(request.fingerprint, now);
     if (!refused || !request.running_attempts.empty()) {
         return refused.has_value();
     }
--- a/src/decisions/placing/request_router.cpp
+++ b/src/decisions/placing/request_router.cpp
@@ -109,8 +109,7 @@
         refuse_arrival(not_run_reason::unknown_service);
         return out;
     }
-    if (const auto refused =
-            quarantine_.refused_for(request.fingerprint, now)) {
+    if (const auto refused = refusal_of(request.fingerprint, now)) {
         out.emplace_back(finish_action{
             request.id, not_run{not_run_reason::quarantined}, *refused});
         return out;
@@ -188,6 +187,9 @@
     if (const auto* answered = std::get_if<attempt_answered>(&result)) {
         record_outcome(attempt.server, !answered->server_error, 1, now);
         note_server_alive(attempt.server, attempt.sent_at, now, out);
+        if (!answered->server_error) {
+            quarantine_.note_completed(request.fingerprint, now);
+        }
         if (!answered->server_error &&
             quarantine_.losses(request.fingerprint) > 0) {
             tell_peers(quarantine_.on_completed(request.fingerprint, now), now,
--- a/test/unit/quarantine_test.cpp
+++ b/test/unit/quarantine_test.cpp
@@ -62,6 +62,16 @@
             }));
     }
 
+    // Returns the number of instances that may send the request.
+    std::size_t sending(request_fingerprint request) const {
+        return static_cast<std::size_t>(std::count_if(
+            instances_.begin(), instances_.end(), [&](const auto& item) {
+                return !item.refused_for(request, now) &&
+                       (!item.is_suspected(request, now) ||
+                        item.may_try(request));
+            }));
+    }
+
     request_quarantine& at(std::size_t instance) {
         return instances_[instance];
     }
@@ -326,3 +336,86 @@
     cr_assert_leq(known.size(), 1024);
     cr_assert(known.refused_for(deadly, now).has_value());
 }
+
+// Regression test: losses less than 0.4 s apart counted once, so a request that
+// was repeated at once reached servers in burst after burst.
+Test(quarantine, request_repeated_at_once_reaches_few_servers_after_a_burst) {
+    for (const std::size_t count : {3U, 13U, 117U}) {
+        for (std::size_t burst = 3; burst <= 8; ++burst) {
+            informed_instances fleet(count);
+            server_fingerprint server = 1;
+            for (std::size_t i = 0; i < burst; ++i) {
+                fleet.lose(i % count, deadly, server++);
+                fleet.now += milliseconds(burst % 2 == 0 ? 0 : 30);
+            }
+            std::size_t reached = 0;
+            for (int round = 0; round < 4; ++round) {
+                fleet.now += milliseconds(4500);
+                // All instances that may do so send it at the same time.
+                const auto sent = fleet.sending(deadly);
+                reached += sent;
+                for (std::size_t i = 0; i < sent; ++i) {
+                    fleet.lose(i, deadly, server++);
+                }
+            }
+            cr_expect_leq(reached, 3, "%zu instances, %zu at once: %zu", count,
+                          burst, reached);
+        }
+    }
+}
+
+// Servers that fail together while many callers read the same.
+Test(quarantine, popular_request_is_sent_after_servers_fail_together) {
+    for (const std::size_t count : {13U, 117U}) {
+        informed_instances fleet(count);
+        for (std::size_t i = 0; i < count; i += 2) {
+            fleet.at(i).note_completed(innocent, fleet.now);
+        }
+        fleet.now += seconds(2);
+        for (std::size_t i = 0; i < 10; ++i) {
+            fleet.lose(i, innocent, i + 1);
+        }
+        cr_assert_eq(fleet.refusing(innocent), 0);
+        cr_assert_geq(fleet.sending(innocent), count - count / 50, "%zu",
+                      fleet.sending(innocent));
+    }
+}
+
+// A request that is read for the first time when servers fail is not lost for
+// good: a few instances try it, and tell the others.
+Test(quarantine, suspected_request_is_free_once_it_is_completed) {
+    informed_instances fleet(13);
+    for (std::size_t i = 0; i < 4; ++i) {
+        fleet.lose(i, innocent, i + 1);
+    }
+    cr_assert_eq(fleet.sending(innocent), 3);
+    fleet.complete(5, innocent);
+    cr_assert_eq(fleet.sending(innocent), 13);
+}
+
+Test(quarantine, router_sends_a_suspected_request_one_at_a_time) {
+    crashing_fixture fixture;
+    const suspect_report report{deadly, {{1, {}}, {2, {}}, {3, {}}}};
+    fixture.router.on_suspect_report("peer", report, fixture.now);
+    const auto first =
+        router_fixture::pick<send_action>(fixture.submit_as(1, deadly));
+    cr_assert_eq(first.size(), 1);
+    const auto next = fixture.submit_as(2, deadly);
+    cr_assert(router_fixture::pick<send_action>(next).empty());
+    const auto ended = router_fixture::pick<finish_action>(next);
+    cr_assert_eq(ended.size(), 1);
+    cr_assert(ended[0].outcome ==
+              verdict(not_run{not_run_reason::quarantined}));
+    cr_assert_leq(ended[0].retry_after->count(), duration(seconds(1)).count());
+    const auto other =
+        router_fixture::pick<send_action>(fixture.submit_as(3, innocent));
+    cr_assert_eq(other.size(), 1);
+    fixture.router.on_attempt_ended(first[0].attempt,
+                                    attempt_answered{false, 1}, fixture.now);
+    cr_assert_eq(
+        router_fixture::pick<send_action>(fixture.submit_as(4, deadly)).size(),
+        1);
+    cr_assert_eq(
+        router_fixture::pick<send_action>(fixture.submit_as(5, deadly)).size(),
+        1);
+}
--- a/test/unit/response_syntax_test.cpp
+++ b/test/unit/response_syntax_test.cpp
@@ -14,12 +14,12 @@
 namespace {
 
 const std::string sized_response = "HTTP/1.1 200 OK\r\n"
-                                   "X-Request-Id: abc\r\n"
+                                   "X-Name: abc\r\n"
                                    "Content-Length: 26\r\n\r\n"
                                    "abcdefghijklmnopqrstuvwxyz";
 const std::string chunked_response = "HTTP/1.1 200 OK\r\n"
                                      "Transfer-Encoding: chunked\r\n"
-                                     "X-Request-Id: abc\r\n\r\n"
+                                     "X-Name: abc\r\n\r\n"
                                      "14\r\nabcdefghijklmnopqrst\r\n"
                                      "6\r\nuvwxyz\r\n0\r\n\r\n";
 
--- a/test/users_platform/server_fault_test.cpp
+++ b/test/users_platform/server_fault_test.cpp
@@ -186,3 +186,49 @@
         });
     cr_expect_eq(runs, counts[200]);
 }
+
+// Regression test: a request that crashes its servers, repeated at once,
+// reached servers in burst after burst.
+Test(server_faults, request_repeated_at_once_crashes_few_servers) {
+    constexpr int server_count = 14;
+    for (int i = 0; i < server_count; ++i) {
+        cluster->add_server("one", "d" + std::to_string(i));
+    }
+    for (const auto& router : cluster->routers()) {
+        cr_assert(eventually([&] {
+            const auto log = cluster->log_of(*router);
+            return log.find("servers=16") != std::string::npos &&
+                   log.find("active=3") != std::string::npos;
+        }));
+    }
+    const auto count_lost = [] {
+        return std::count_if(
+            cluster->servers().begin(), cluster->servers().end(),
+            [](const auto& item) { return !item.second->child->is_running(); });
+    };
+    const auto send_burst = [](const std::string& name) {
+        std::vector<std::future<http_response>> pending;
+        for (std::size_t i = 0; i < 6; ++i) {
+            pending.push_back(send_request_async(make_request(
+                *cluster->routers().at(i % 3), "GET", "/sound/deadly?work=80",
+                name + std::to_string(i))));
+        }
+        for (auto& item : pending) {
+            item.get();
+        }
+    };
+    send_burst("first");
+    std::this_thread::sleep_for(500ms);
+    const auto after_first = count_lost();
+    cr_assert_geq(after_first, 3, "%td", after_first);
+    for (const auto* name : {"second", "third"}) {
+        send_burst(name);
+        std::this_thread::sleep_for(500ms);
+    }
+    const auto later = count_lost() - after_first;
+    cr_expect_leq(later, 3, "%td", later);
+    cr_expect_eq(send_request(make_request(*cluster->routers().at(1), "GET",
+                                           "/sound/x", "other"))
+                     .status,
+                 200);
+}
