Satisfy the linter in the tests of requests' ends and of servers' faults

The linter wanted braces around the members of forwarding peers, whose second member is an identity and not a name, and references for two parameters.

--- a/test/unit/request_lifetime_test.cpp
+++ b/test/unit/request_lifetime_test.cpp
@@ -25,7 +25,8 @@
         failing_ = draw(service_count);
         if (draw(2) == 0) {
             router_.set_forwarding_peers(
-                {{"127.0.0.1:1", "p1", "a"}, {"127.0.0.1:2", "p2", "b"}});
+                {forwarding_peer{"127.0.0.1:1", {}, "a"},
+                 forwarding_peer{"127.0.0.1:2", {}, "b"}});
         }
     }
 
--- a/test/users_platform/server_fault_test.cpp
+++ b/test/users_platform/server_fault_test.cpp
@@ -56,7 +56,8 @@
 // Sends requests to each router, one after the other in each of some threads.
 class constant_load {
 public:
-    constant_load(std::string method, std::string target, int callers) {
+    constant_load(const std::string& method, const std::string& target,
+                  int callers) {
         for (const auto& router : cluster->routers()) {
             for (int i = 0; i < callers; ++i) {
                 threads_.emplace_back(
