--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -298,7 +298,8 @@
                 remove_server(position, id);
             });
         });
-    } else if (server.child->is_running()) {
+    } else if (server.child->is_running() && !paused_servers_.contains(id)) {
+        // A paused server would not answer the request for the fault.
         const int count = static_cast<int>(event.duration_ms / 100);
         if (event.kind == "server_refuse") {
             set({{"refuse_all", true}});
