Name the states of a suspected request by what they mean

accuses, convicts and triers told a story of a court; is_suspicious, must_be_refused and sending_instances say what is asked.

--- a/include/lacewingbeam/request_quarantine.hpp
+++ b/include/lacewingbeam/request_quarantine.hpp
@@ -72,10 +72,10 @@
     void note_completed(request_fingerprint request, time_point now);
 
     // A suspected request is sent by a few instances only, one attempt at a
-    // time each, until it is completed or refused. may_try tells whether this
-    // instance is one of them.
+    // time each, until it is completed or refused. may_send_suspect tells
+    // whether this instance is one of them.
     bool is_suspected(request_fingerprint request, time_point now) const;
-    bool may_try(request_fingerprint request) const;
+    bool may_send_suspect(request_fingerprint request) const;
 
     // Returns true if responses of servers may still refute a loss.
     bool awaits_signs_of_life(time_point now) const;
@@ -117,8 +117,8 @@
     static std::vector<server_fingerprint> events_of(const loss_map& losses);
     static std::size_t count_events(const loss_map& losses);
     static std::size_t count_servers(const loss_map& losses);
-    static bool accuses(const loss_map& losses);
-    static bool convicts(const loss_map& losses);
+    static bool is_suspicious(const loss_map& losses);
+    static bool must_be_refused(const loss_map& losses);
     static time_point last_loss(const loss_map& losses);
     bool completed_lately(request_fingerprint request, time_point now) const;
     static server_fingerprint least_telling(const loss_map& losses);
--- a/src/decisions/placing/request_quarantine.cpp
+++ b/src/decisions/placing/request_quarantine.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t informants = 8;
 
 // Instances that send a suspected request.
-constexpr std::size_t triers = 3;
+constexpr std::size_t sending_instances = 3;
 
 // A request that was completed so recently does not crash its servers.
 constexpr duration completion_memory = seconds(10);
@@ -87,12 +87,12 @@
                       [](const auto& item) { return !item.second.refuted; }));
 }
 
-bool request_quarantine::accuses(const loss_map& losses) {
+bool request_quarantine::is_suspicious(const loss_map& losses) {
     return count_events(losses) >= losses_to_suspect ||
            count_servers(losses) >= servers_to_suspect;
 }
 
-bool request_quarantine::convicts(const loss_map& losses) {
+bool request_quarantine::must_be_refused(const loss_map& losses) {
     const auto events = count_events(losses);
     return events >= losses_to_refuse ||
            (events >= losses_to_suspect &&
@@ -121,12 +121,12 @@
 bool request_quarantine::is_suspected(request_fingerprint request,
                                       time_point now) const {
     const auto found = suspects_.find(request);
-    return found != suspects_.end() && accuses(found->second.losses) &&
+    return found != suspects_.end() && is_suspicious(found->second.losses) &&
            now - last_loss(found->second.losses) < min_refusal;
 }
 
-bool request_quarantine::may_try(request_fingerprint request) const {
-    return rank_for(request, own_) < triers;
+bool request_quarantine::may_send_suspect(request_fingerprint request) const {
+    return rank_for(request, own_) < sending_instances;
 }
 
 request_quarantine::level request_quarantine::level_of(const suspect& entry,
@@ -134,7 +134,7 @@
     if (refused_until(entry) > now) {
         return level::refused;
     }
-    return accuses(entry.losses) ? level::suspected : level::known;
+    return is_suspicious(entry.losses) ? level::suspected : level::known;
 }
 
 bool request_quarantine::awaits_signs_of_life(time_point now) const {
@@ -294,7 +294,7 @@
         return {};
     }
     entry.changed_at = now;
-    if (accuses(entry.losses) && completed_lately(report.request, now)) {
+    if (is_suspicious(entry.losses) && completed_lately(report.request, now)) {
         return on_completed(report.request, now);
     }
     if (before == level_of(entry, now)) {
@@ -314,7 +314,8 @@
                                     time_point now) const {
     reports out;
     for (const auto& [request, entry] : suspects_) {
-        if (accuses(entry.losses) && rank_for(request, own_) < informants) {
+        if (is_suspicious(entry.losses) &&
+            rank_for(request, own_) < informants) {
             out.push_back({peer, to_report(request, entry, now)});
         }
     }
@@ -322,7 +323,7 @@
 }
 
 time_point request_quarantine::refused_until(const suspect& entry) {
-    if (!convicts(entry.losses)) {
+    if (!must_be_refused(entry.losses)) {
         return time_point{};
     }
     const auto events = std::max(count_events(entry.losses), losses_to_refuse);
--- a/src/decisions/placing/request_refusing.cpp
+++ b/src/decisions/placing/request_refusing.cpp
@@ -11,8 +11,8 @@
 // Longer pauses are taken for a mistake.
 constexpr duration max_pause = std::chrono::hours(1);
 
-// Time for an instance to complete a suspected request, or lose it.
-constexpr duration trial_time = std::chrono::seconds(1);
+// Time for the instances that send a suspected request to learn its outcome.
+constexpr duration suspect_retry_after = std::chrono::seconds(1);
 
 } // namespace
 
@@ -102,8 +102,8 @@
             return item.second.fingerprint == fingerprint &&
                    !item.second.running_attempts.empty();
         });
-    return running || !quarantine_.may_try(fingerprint)
-               ? std::optional(trial_time)
+    return running || !quarantine_.may_send_suspect(fingerprint)
+               ? std::optional(suspect_retry_after)
                : std::nullopt;
 }
 
--- a/test/unit/quarantine_test.cpp
+++ b/test/unit/quarantine_test.cpp
@@ -68,7 +68,7 @@
             instances_.begin(), instances_.end(), [&](const auto& item) {
                 return !item.refused_for(request, now) &&
                        (!item.is_suspected(request, now) ||
-                        item.may_try(request));
+                        item.may_send_suspect(request));
             }));
     }
 
