--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -14,11 +14,6 @@
 // server accepts requests for longer than that.
 constexpr std::int64_t leave_ms = 4000;
 
-// Time from a restore of the store until lost rows are written again, and until
-// all instances have read them.
-constexpr std::int64_t write_again_delay_ms = 800;
-constexpr std::int64_t restore_effect_ms = 3000;
-
 // The registration of a killed server is removed after three missed reports.
 constexpr std::int64_t registration_expiry_ms = 1500;
 constexpr std::int64_t address_reuse_delay_ms = 2000;
@@ -128,6 +123,7 @@
         run_pending_steps(); // resumes a paused store before the next edit
     }
     restart_ended_routers();
+    replace_crashed_servers();
     collect();
     // The other faults are late as well then.
     constexpr std::int64_t max_step_ms = 1000;
@@ -163,6 +159,8 @@
         slow_until(started_ms_ + event.at_ms + event.duration_ms);
     } else if (event.kind == "service_crash") {
         crash_service(event);
+    } else if (event.kind == "crash_series") {
+        begin_crash_series(event);
     } else if (event.kind == "routers_kill") {
         const auto count = environment_.routers().size();
         for (std::size_t i = 0; i < count; i += 2) {
@@ -188,7 +186,8 @@
     if (!router.child->is_running()) {
         return; // being restarted
     }
-    // A router that is stopping is restarted once, however many signals it gets.
+    // A router that is stopping is restarted once, however many signals it
+    // gets.
     const bool restart_pending = stopped_routers_.contains(number);
     if (event.kind == "router_kill") {
         add_disturbance(number, event.duration_ms, event.kind);
@@ -287,15 +286,7 @@
     };
     if (event.kind == "server_kill") {
         server.child->signal(SIGKILL);
-        departing_.insert(id);
-        schedule_step(registration_expiry_ms, [this, position, id] {
-            when_store_accepts_writes([this, position, id] {
-                environment_.remove_registration(id);
-                schedule_step(address_reuse_delay_ms, [this, position, id] {
-                    replace_server(position, id);
-                });
-            });
-        });
+        expire_server(position, id);
     } else if (event.kind == "server_pause") {
         server.child->signal(SIGSTOP);
         paused_servers_.insert(id);
@@ -336,6 +327,30 @@
     }
 }
 
+void fault_director::expire_server(std::size_t position,
+                                   const std::string& id) {
+    departing_.insert(id);
+    schedule_step(registration_expiry_ms, [this, position, id] {
+        when_store_accepts_writes([this, position, id] {
+            environment_.remove_registration(id);
+            schedule_step(address_reuse_delay_ms, [this, position, id] {
+                replace_server(position, id);
+            });
+        });
+    });
+}
+
+void fault_director::replace_crashed_servers() {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        const auto& id = servers_[i];
+        if (!departing_.contains(id) &&
+            !environment_.server(id).child->is_running()) {
+            history_.crashes.push_back({id, now_ms()});
+            expire_server(i, id);
+        }
+    }
+}
+
 // Removes the registration of a server that has left. The server keeps serving
 // for a while and is then killed.
 void fault_director::remove_server(std::size_t position,
@@ -366,158 +381,4 @@
     });
 }
 
-void fault_director::begin_link_fault(const fault& event,
-                                      const std::string& control) {
-    const auto set = [control](const json& settings) {
-        testing_support::installation::control(control, settings);
-    };
-    constexpr int max_delay_ms = 300;
-    if (event.kind.ends_with("_delay")) {
-        set({{"delay_ms", event.duration_ms % max_delay_ms}});
-        schedule_step(event.duration_ms, [set] { set({{"delay_ms", 0}}); });
-    } else if (event.kind.ends_with("_cut")) {
-        constexpr int max_bytes = 600;
-        set({{"cut_answers", 5},
-             {"cut_after_bytes", event.duration_ms % max_bytes}});
-        schedule_step(event.duration_ms, [set] { set({{"cut_answers", 0}}); });
-    } else if (event.kind.ends_with("_silent")) {
-        set({{"silence_open", true}});
-    } else if (event.kind.ends_with("_reset")) {
-        set({{"close_open", true}});
-    } else if (event.kind.ends_with("_hole")) {
-        set({{"blackhole", true}, {"silence_open", true}});
-        schedule_step(event.duration_ms, [set] {
-            set({{"blackhole", false}, {"close_open", true}});
-        });
-    } else {
-        set({{"refuse", true}, {"close_open", true}});
-        schedule_step(event.duration_ms, [set] { set({{"refuse", false}}); });
-    }
-}
-
-void fault_director::begin_store_fault(const fault& event) {
-    const auto store = environment_.store_address();
-    const bool on_link =
-        event.kind == "store_delay" || event.kind == "store_silent" ||
-        event.kind == "store_cut" || event.kind == "store_hole";
-    if (store_unavailable_ && !on_link) {
-        return; // a paused store would not answer the request for the fault
-    }
-    if (event.kind == "store_refuse" || event.kind == "store_pause") {
-        store_unavailable_ = true;
-    }
-    add_disturbance(disturbance::all_routers, event.duration_ms, event.kind);
-    if (event.kind == "store_refuse") {
-        const int status = event.duration_ms % 2 == 0 ? 503 : 429;
-        testing_support::installation::control(store,
-                                               {{"refuse_status", status}});
-        schedule_step(event.duration_ms, [this, store] {
-            testing_support::installation::control(store,
-                                                   {{"refuse_status", 0}});
-            store_unavailable_ = false;
-        });
-    } else if (event.kind == "store_restore") {
-        begin_restore(event);
-    } else if (event.kind == "store_forget") {
-        testing_support::installation::control(store,
-                                               {{"forget_history", true}});
-    } else if (event.kind == "store_pause") {
-        environment_.store_process().signal(SIGSTOP);
-        schedule_step(event.duration_ms, [this] {
-            environment_.store_process().signal(SIGCONT);
-            store_unavailable_ = false;
-        });
-    } else {
-        const auto& proxy =
-            store_proxies_[event.target % store_proxies_.size()];
-        begin_link_fault(event, proxy->control);
-    }
-}
-
-// The store loses what is written in the next duration_ms. Edits and servers
-// are written again a little later.
-void fault_director::begin_restore(const fault& event) {
-    if (std::exchange(restore_pending_, true)) {
-        return; // one restore at a time
-    }
-    environment_.copy_store();
-    schedule_step(event.duration_ms, [this] {
-        when_store_accepts_writes([this] {
-            add_disturbance(disturbance::all_routers, restore_effect_ms,
-                            "store_restore");
-            environment_.restore_store();
-            schedule_step(write_again_delay_ms, [this] {
-                when_store_accepts_writes([this] {
-                    environment_.write_again();
-                    restore_pending_ = false;
-                });
-            });
-        });
-    });
-}
-
-void fault_director::record_output(
-    const testing_support::server_process& server) {
-    for (const auto& line : server.child->take_lines()) {
-        const auto space = line.find(' ');
-        const auto word = line.substr(0, space);
-        const auto end = line.find(' ', space + 1);
-        const auto id = line.substr(space + 1, end - space - 1);
-        if (end == std::string::npos) {
-            continue;
-        }
-        const run_record record{server.id, server.service,
-                                std::stoll(line.substr(end + 1))};
-        if (word == "arrived") {
-            history_.add_arrival(id, record);
-        } else if (word == "run") {
-            history_.add_run(id, record);
-        }
-    }
-}
-
-std::vector<std::string> fault_director::find_resource_violations() {
-    constexpr long max_kb = 32768;               // memory limit for long runs
-    constexpr double max_probes_per_second = 60; // as in the settings
-#ifdef __SANITIZE_ADDRESS__
-    constexpr bool sanitized = true; // shadow memory inflates the resident size
-#else
-    constexpr bool sanitized = false;
-#endif
-    auto out = own_ends_;
-    for (const auto& router : environment_.routers()) {
-        const auto status = testing_support::read_file(
-            "/proc/" + std::to_string(router->child->id()) + "/status");
-        const auto at = status.find("VmRSS:");
-        const long kb =
-            at == std::string::npos ? 0 : std::atol(status.c_str() + at + 6);
-        if (kb > max_kb && !sanitized) {
-            out.push_back("memory: " + router->name + " uses " +
-                          std::to_string(kb) + " KB");
-        }
-    }
-    for (const auto& id : servers_) {
-        const auto& server = environment_.server(id);
-        if (!server.child->is_running() || departing_.contains(id)) {
-            continue;
-        }
-        const auto probes = testing_support::installation::control(
-                                server.address, json::object())
-                                .value("probes", 0.0);
-        const double age_s =
-            static_cast<double>(now_ms() - added_ms_[id]) / 1000;
-        if (age_s > 5 && probes > max_probes_per_second * age_s) {
-            out.push_back("probes: " + id + " got " + std::to_string(probes) +
-                          " in " + std::to_string(age_s) + " s");
-        }
-    }
-    return out;
-}
-
-void fault_director::collect() {
-    for (const auto& [id, server] : environment_.servers()) {
-        record_output(*server);
-    }
-}
-
 } // namespace soak
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 // Injects faults into processes, their connections and the store, on a schedule
@@ -48,6 +49,9 @@
     void step();
     bool is_over() const;
 
+    // Waits for the responses to the requests that the faults sent.
+    void finish();
+
     // Reads the arrivals and runs that servers have logged.
     void collect();
 
@@ -60,10 +64,21 @@
 private:
     using step_function = std::function<void()>;
 
+    // Returns the settings of a server during a fault, and after it.
+    using server_settings = std::function<testing_support::json(
+        const testing_support::server_process&, bool over)>;
+
     void begin(const fault& event);
+    void control_servers_until(std::int64_t end_ms,
+                               server_settings settings_of);
     void shed_until(std::int64_t end_ms);
     void slow_until(std::int64_t end_ms);
     void crash_service(const fault& event);
+    void begin_crash_series(const fault& event);
+    void send_crashing_requests(std::size_t series, std::size_t burst,
+                                const std::string& prefix);
+    void replace_crashed_servers();
+    void expire_server(std::size_t position, const std::string& id);
     void begin_paths_cut(const fault& event);
     void cut_paths_until(std::int64_t end_ms,
                          const std::set<std::size_t>& routers,
@@ -110,6 +125,8 @@
     bool restore_pending_ = false;
     bool store_unavailable_ = false;
     std::int64_t started_ms_ = 0;
+    std::size_t crash_series_ = 0;
+    std::vector<std::jthread> senders_;
 };
 
 std::string service_name(std::size_t number);
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -28,9 +28,16 @@
 
 constexpr double min_served_share = 0.98;
 
+// A request that has crashed servers reaches few others once the routers have
+// had the time to tell each other.
+constexpr std::size_t crashes_to_refuse = 3;
+constexpr std::size_t max_late_arrivals = 3;
+constexpr std::int64_t contact_ms = 3000;
+
 std::string describe(const call_record& call) {
     return call.id + " (" + call.prefix + ", router " +
-           std::to_string(call.router) + ", status " +
+           std::to_string(call.router) +
+           (call.by_other_build ? " of the other build" : "") + ", status " +
            std::to_string(call.response.status) + ", sent at " +
            std::to_string(call.sent_ms) + ")";
 }
@@ -76,6 +83,7 @@
     check_responses(out);
     check_runs(out);
     check_repeat_budget(out);
+    check_crash_series(out);
     if (check_time_bounds) {
         check_deadlines(out);
         check_edits(out);
@@ -322,6 +330,72 @@
     }
 }
 
+// Returns the times at which servers ended by themselves that ran the requests.
+std::vector<std::int64_t>
+ledger::find_crashes(const std::set<std::string>& requests) const {
+    std::set<std::string> servers;
+    for (const auto& id : requests) {
+        const auto found = runs_.find(id);
+        if (found != runs_.end()) {
+            for (const auto& run : found->second) {
+                servers.insert(run.server);
+            }
+        }
+    }
+    std::vector<std::int64_t> times;
+    for (const auto& crash : crashes) {
+        if (servers.contains(crash.server)) {
+            times.push_back(crash.at_ms);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+// Returns how often undisturbed routers sent the requests after the time.
+std::size_t ledger::count_arrivals(const std::set<std::string>& requests,
+                                   std::int64_t after_ms) const {
+    std::size_t count = 0;
+    for (const auto& id : requests) {
+        const auto found = arrivals_.find(id);
+        if (found == arrivals_.end()) {
+            continue;
+        }
+        const auto& call = calls_.at(id);
+        count += static_cast<std::size_t>(std::count_if(
+            found->second.begin(), found->second.end(),
+            [&](const run_record& arrival) {
+                return arrival.at_ms > after_ms &&
+                       is_undisturbed(call.router,
+                                      call.sent_ms - disturbance_margin_ms,
+                                      arrival.at_ms);
+            }));
+    }
+    return count;
+}
+
+void ledger::check_crash_series(report& out) const {
+    std::map<std::size_t, std::set<std::string>> all_series;
+    for (const auto& [id, call] : calls_) {
+        if (call.crash_series != 0) {
+            all_series[call.crash_series].insert(id);
+        }
+    }
+    for (const auto& [number, requests] : all_series) {
+        const auto times = find_crashes(requests);
+        if (times.size() < crashes_to_refuse) {
+            continue;
+        }
+        const auto late =
+            count_arrivals(requests, times[crashes_to_refuse - 1] + contact_ms);
+        if (late > max_late_arrivals) {
+            out.push_back("crashes: series " + std::to_string(number) +
+                          " reached servers " + std::to_string(late) +
+                          " times after its third crash");
+        }
+    }
+}
+
 void ledger::check_recovery(report& out) const {
     std::size_t request_count = 0;
     std::size_t served = 0;
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -23,6 +23,8 @@
     bool waits_past_limit = true;
     std::size_t bytes = 0;
     std::size_t router = 0;
+    bool by_other_build = false;
+    std::size_t crash_series = 0; // 0: does not crash its servers
     std::int64_t sent_ms = 0;
     std::int64_t ended_ms = 0;
     call_response response;
@@ -54,6 +56,12 @@
     std::int64_t at_ms = 0; // when the store accepted the change
 };
 
+// A server that ended by itself.
+struct crash_record {
+    std::string server;
+    std::int64_t at_ms = 0;
+};
+
 // A period in which some routers had no path to any server.
 struct cut_record {
     std::set<std::size_t> routers;
@@ -80,6 +88,7 @@
     std::vector<leave_record> leaves;
     std::vector<stop_record> stops;
     std::vector<cut_record> cuts;
+    std::vector<crash_record> crashes;
     std::int64_t fault_free_from_ms = 0; // no faults from here on
 
     // Returns a line for each violated guarantee. `check_time_bounds` adds the
@@ -103,6 +112,11 @@
     void check_stops(report& out) const;
     void check_recovery(report& out) const;
     void check_cuts(report& out) const;
+    std::vector<std::int64_t>
+    find_crashes(const std::set<std::string>& requests) const;
+    std::size_t count_arrivals(const std::set<std::string>& requests,
+                               std::int64_t after_ms) const;
+    void check_crash_series(report& out) const;
 
     std::mutex mutex_;
     std::map<std::string, call_record> calls_;
--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -124,6 +124,23 @@
     }
 }
 
+// A request crashes its servers, early enough for others to take their place.
+void add_crash_series(const soak_options& options,
+                      std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 6000011;
+    constexpr std::int64_t series_ms = 10000;
+    constexpr std::int64_t replacement_ms = 4000;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end =
+        options.length_ms - options.fault_free_ms - series_ms - replacement_ms;
+    for (auto at = draw_between(500, 3000); at < end;
+         at += draw_between(4000, 9000)) {
+        schedule.push_back({at, "crash_series",
+                            static_cast<std::size_t>(draw_between(0, 1000)),
+                            0});
+    }
+}
+
 } // namespace
 
 std::vector<fault> draw_schedule(const soak_options& options) {
@@ -151,6 +168,7 @@
     add_service_crashes(options, schedule);
     add_spoiled_answers(options, schedule);
     add_busy_stops(options, schedule);
+    add_crash_series(options, schedule);
     std::stable_sort(
         schedule.begin(), schedule.end(),
         [](const fault& a, const fault& b) { return a.at_ms < b.at_ms; });
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -22,6 +22,7 @@
     std::size_t callers = 16;
     bool check_time_bounds = true;
     std::string log_directory; // directory for the logs of a failed run
+    std::string other_router;  // program of another build, or empty
 };
 
 // A caller that sends requests one after the other over keep-alive connections.
@@ -58,6 +59,7 @@
         call.id =
             "c" + std::to_string(number_) + "-" + std::to_string(next_call_++);
         call.router = router_;
+        call.by_other_build = environment_.routers()[router_]->runs_other_build;
         const auto kind = draw(10);
         const auto service = std::to_string(draw(options_.services));
         call.repeatable = kind >= 4;
@@ -140,6 +142,7 @@
 
 bool run_with_seed(const run_options& options) {
     installation environment;
+    environment.alternate_with(options.other_router);
     ledger history;
     fault_director faults(environment, options.soak, history);
     faults.start_all();
@@ -151,6 +154,7 @@
             std::this_thread::sleep_for(step);
         }
     }
+    faults.finish();
     // Allows the servers to log the last runs.
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     faults.collect();
@@ -193,6 +197,10 @@
         TCLAP::ValueArg<std::string> keep("k", "keep",
                                           "directory for logs of failed runs",
                                           false, "", "DIRECTORY", command);
+        TCLAP::ValueArg<std::string> other_router(
+            "o", "other-router",
+            "lacewingbeam-router of another build, run at every second start",
+            false, "", "PROGRAM", command);
         TCLAP::SwitchArg untimed("u", "untimed",
                                  "skip the checks of time bounds", command);
         command.parse(argc, argv);
@@ -203,6 +211,7 @@
         options.callers = callers.getValue();
         options.check_time_bounds = !untimed.getValue();
         options.log_directory = keep.getValue();
+        options.other_router = other_router.getValue();
         std::uint64_t failed = 0;
         for (std::uint64_t i = 0; i < seeds.getValue(); ++i) {
             options.soak.seed = seed.getValue() + i;
--- a/test/soak/wide_faults.cpp
+++ b/test/soak/wide_faults.cpp
@@ -1,5 +1,6 @@
 #include "faults.hpp"
 
+#include <algorithm>
 #include <csignal>
 
 // Faults of all servers, or of the paths to them, that last.
@@ -7,47 +8,49 @@
 
 namespace {
 
+using testing_support::json;
+
 // Share of the requests that a service in trouble refuses.
 constexpr double shed_share = 0.6;
 
 } // namespace
 
+// Applies the settings to all servers until end_ms, then restores them.
 // Includes servers that are started meanwhile.
-void fault_director::shed_until(std::int64_t end_ms) {
+void fault_director::control_servers_until(std::int64_t end_ms,
+                                           server_settings settings_of) {
     constexpr std::int64_t step_ms = 500;
     const bool over = now_ms() >= end_ms;
     for (const auto& id : servers_) {
         const auto& server = environment_.server(id);
         if (server.child->is_running() && !paused_servers_.contains(id)) {
-            testing_support::installation::control(
-                server.address, {{"refuse_share", over ? 0 : shed_share}});
+            testing_support::installation::control(server.address,
+                                                   settings_of(server, over));
         }
     }
     if (!over || !paused_servers_.empty()) {
-        schedule_step(
-            std::min(step_ms, std::max<std::int64_t>(50, end_ms - now_ms())),
-            [this, end_ms] { shed_until(end_ms); });
+        const auto delay_ms =
+            std::min(step_ms, std::max<std::int64_t>(50, end_ms - now_ms()));
+        schedule_step(delay_ms,
+                      [this, end_ms, settings_of = std::move(settings_of)] {
+                          control_servers_until(end_ms, settings_of);
+                      });
     }
 }
 
+void fault_director::shed_until(std::int64_t end_ms) {
+    control_servers_until(end_ms, [](const auto&, bool over) {
+        return json{{"refuse_share", over ? 0 : shed_share}};
+    });
+}
+
 // Requests queue up at all routers.
 void fault_director::slow_until(std::int64_t end_ms) {
-    constexpr std::int64_t step_ms = 500;
     constexpr int slowness = 30;
-    const bool over = now_ms() >= end_ms;
-    for (const auto& id : servers_) {
-        const auto& server = environment_.server(id);
-        if (server.child->is_running() && !paused_servers_.contains(id)) {
-            testing_support::installation::control(
-                server.address, {{"slowness", over ? 1 : slowness},
-                                 {"slots", over ? server.slots : 1}});
-        }
-    }
-    if (!over || !paused_servers_.empty()) {
-        schedule_step(
-            std::min(step_ms, std::max<std::int64_t>(50, end_ms - now_ms())),
-            [this, end_ms] { slow_until(end_ms); });
-    }
+    control_servers_until(end_ms, [](const auto& server, bool over) {
+        return json{{"slowness", over ? 1 : slowness},
+                    {"slots", over ? server.slots : 1}};
+    });
 }
 
 // All servers of one service are lost at once, and their ports refuse
--- a/test/users_platform/installation.cpp
+++ b/test/users_platform/installation.cpp
@@ -186,6 +186,7 @@
     constexpr std::size_t first_source = 10;
     constexpr std::size_t sources_per_net = 200;
     const auto number = routers_.size();
+    created->starts = static_cast<unsigned>(number % 2);
     created->source_ip =
         "127.0." + std::to_string(number / sources_per_net) + "." +
         std::to_string(first_source + number % sources_per_net);
@@ -215,8 +216,12 @@
     if (router.settings_path.empty()) {
         write_settings(router);
     }
+    router.runs_other_build =
+        !other_router_program_.empty() && router.starts % 2 == 1;
+    ++router.starts;
     router.child = process::start_logged(
-        {LACEWINGBEAM_ROUTER, "--settings", router.settings_path},
+        {router.runs_other_build ? other_router_program_ : LACEWINGBEAM_ROUTER,
+         "--settings", router.settings_path},
         files_.file(router.name + ".log"));
 }
 
--- a/test/users_platform/installation.hpp
+++ b/test/users_platform/installation.hpp
@@ -6,6 +6,7 @@
 #include "process.hpp"
 #include "proxy.hpp"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,6 +49,8 @@
     std::string settings_path;
     std::string store_address; // the store's own or that of a proxy
     std::string source_ip;     // of its connections to servers
+    unsigned starts = 0;
+    std::atomic<bool> runs_other_build = false;
     std::unique_ptr<process> child;
 };
 
@@ -90,6 +93,12 @@
     void write_settings(router_instance& router,
                         const std::string& extra_settings = {}) const;
     void start(router_instance& router) const;
+
+    // Makes every second start of each router run the program of another build.
+    // Half of the routers begin with it.
+    void alternate_with(std::string program) {
+        other_router_program_ = std::move(program);
+    }
     bool is_ready(const router_instance& router) const;
     std::string log_of(const router_instance& router) const;
 
@@ -119,6 +128,7 @@
     std::map<std::string, std::unique_ptr<server_process>> servers_;
     std::vector<std::unique_ptr<router_instance>> routers_;
     std::vector<int> reserved_ports_;
+    std::string other_router_program_;
     unsigned version_ = 0;
     std::uint64_t sequence_ = 0;
 };
