Share the listening socket of tests and the loop of the soak's fault series

Two test servers repeated the same twelve lines that open a listening socket, and three functions of the soak's schedule the same loop.

Change: testing_support::listening_socket; add_series draws the faults of one kind.

Conclusion: no change of behaviour.

--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -1,6 +1,7 @@
 #include "faults.hpp"
 
 #include <algorithm>
+#include <optional>
 
 // The schedule of faults, which depends on the options only.
 namespace soak {
@@ -74,6 +75,35 @@
     }
 }
 
+struct interval {
+    std::int64_t low = 0;
+    std::int64_t high = 0;
+};
+
+// Faults of one kind at random times up to end_ms, each of random duration.
+struct fault_series {
+    std::string kind;
+    interval first;
+    interval gap;
+    std::int64_t end_ms = 0;
+    std::optional<interval> duration;
+};
+
+void add_series(const fault_series& series, schedule_engine& draw_between,
+                std::vector<fault>& schedule) {
+    for (auto at = draw_between(series.first.low, series.first.high);
+         at < series.end_ms;
+         at += draw_between(series.gap.low, series.gap.high)) {
+        fault event{at, series.kind,
+                    static_cast<std::size_t>(draw_between(0, 1000)), 0};
+        if (series.duration) {
+            event.duration_ms =
+                draw_between(series.duration->low, series.duration->high);
+        }
+        schedule.push_back(event);
+    }
+}
+
 // A service loses all its servers, early enough for others to take their place.
 void add_service_crashes(const soak_options& options,
                          std::vector<fault>& schedule) {
@@ -84,12 +114,8 @@
     if (draw_between(0, 2) == 0) {
         return;
     }
-    for (auto at = draw_between(500, 4000); at < end;
-         at += draw_between(3000, 9000)) {
-        schedule.push_back({at, "service_crash",
-                            static_cast<std::size_t>(draw_between(0, 1000)),
-                            0});
-    }
+    add_series({"service_crash", {500, 4000}, {3000, 9000}, end, {}},
+               draw_between, schedule);
 }
 
 // Servers send bytes that are no response.
@@ -98,12 +124,25 @@
     constexpr std::uint64_t stream = 4000037;
     schedule_engine draw_between(options.seed + stream);
     const auto end = options.length_ms - options.fault_free_ms;
-    for (auto at = draw_between(500, 3000); at < end;
-         at += draw_between(500, 3000)) {
-        schedule.push_back({at, "answers_spoiled",
-                            static_cast<std::size_t>(draw_between(0, 1000)),
-                            draw_between(min_duration_ms, max_duration_ms)});
-    }
+    add_series({"answers_spoiled",
+                {500, 3000},
+                {500, 3000},
+                end,
+                interval{min_duration_ms, max_duration_ms}},
+               draw_between, schedule);
+}
+
+// A request crashes its servers, early enough for others to take their place.
+void add_crash_series(const soak_options& options,
+                      std::vector<fault>& schedule) {
+    constexpr std::uint64_t stream = 6000011;
+    constexpr std::int64_t series_ms = 10000;
+    constexpr std::int64_t replacement_ms = 4000;
+    schedule_engine draw_between(options.seed + stream);
+    const auto end =
+        options.length_ms - options.fault_free_ms - series_ms - replacement_ms;
+    add_series({"crash_series", {500, 3000}, {4000, 9000}, end, {}},
+               draw_between, schedule);
 }
 
 // A router stops while requests wait for slots.
@@ -124,23 +163,6 @@
     }
 }
 
-// A request crashes its servers, early enough for others to take their place.
-void add_crash_series(const soak_options& options,
-                      std::vector<fault>& schedule) {
-    constexpr std::uint64_t stream = 6000011;
-    constexpr std::int64_t series_ms = 10000;
-    constexpr std::int64_t replacement_ms = 4000;
-    schedule_engine draw_between(options.seed + stream);
-    const auto end =
-        options.length_ms - options.fault_free_ms - series_ms - replacement_ms;
-    for (auto at = draw_between(500, 3000); at < end;
-         at += draw_between(4000, 9000)) {
-        schedule.push_back({at, "crash_series",
-                            static_cast<std::size_t>(draw_between(0, 1000)),
-                            0});
-    }
-}
-
 } // namespace
 
 std::vector<fault> draw_schedule(const soak_options& options) {
--- a/test/unit/closing_server.hpp
+++ b/test/unit/closing_server.hpp
@@ -2,13 +2,10 @@
 #define LACEWINGBEAM_TEST_CLOSING_SERVER_HPP
 
 #include "adapters/connection_pool.hpp"
+#include "listening_socket.hpp"
 
-#include <arpa/inet.h>
-#include <criterion/criterion.h>
 #include <optional>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 // One exchange of a connection_pool with a server that sends given bytes.
 namespace lacewingbeam::test {
@@ -17,37 +14,19 @@
 class closing_server {
 public:
     explicit closing_server(std::string text)
-        : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        cr_assert_eq(bind(listener_, generic, size), 0);
-        cr_assert_eq(listen(listener_, 1), 0);
-        getsockname(listener_, generic, &size);
-        port_ = ntohs(address.sin_port);
-        thread_ = std::thread([this, text = std::move(text)] {
-            const int connection = accept(listener_, nullptr, nullptr);
-            std::string request(4096, '\0');
-            recv(connection, request.data(), request.size(), 0);
-            send(connection, text.data(), text.size(), MSG_NOSIGNAL);
-            close(connection);
-        });
-    }
-    closing_server(const closing_server&) = delete;
-    closing_server& operator=(const closing_server&) = delete;
-    ~closing_server() {
-        thread_.join();
-        close(listener_);
-    }
+        : thread_([this, text = std::move(text)] {
+              const int connection = listener_.accept_connection();
+              std::string request(4096, '\0');
+              recv(connection, request.data(), request.size(), 0);
+              send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+              close(connection);
+          }) {}
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    std::string address() const { return listener_.address(); }
 
 private:
-    int listener_;
-    std::uint16_t port_ = 0;
-    std::thread thread_;
+    testing_support::listening_socket listener_;
+    std::jthread thread_;
 };
 
 struct outcome {
--- a/test/unit/endless_response_test.cpp
+++ b/test/unit/endless_response_test.cpp
@@ -1,12 +1,9 @@
 #include "adapters/connection_pool.hpp"
+#include "listening_socket.hpp"
 
-#include <arpa/inet.h>
 #include <atomic>
-#include <criterion/criterion.h>
 #include <optional>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 // connection_pool with servers whose responses do not end.
 using namespace lacewingbeam;
@@ -24,29 +21,11 @@
 class endless_server {
 public:
     endless_server(std::string start, std::string piece)
-        : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        cr_assert_eq(bind(listener_, generic, size), 0);
-        cr_assert_eq(listen(listener_, 1), 0);
-        getsockname(listener_, generic, &size);
-        port_ = ntohs(address.sin_port);
-        thread_ = std::thread(
-            [this, start = std::move(start), piece = std::move(piece)] {
-                send_all(accept(listener_, nullptr, nullptr), start, piece);
-            });
-    }
-    endless_server(const endless_server&) = delete;
-    endless_server& operator=(const endless_server&) = delete;
-    ~endless_server() {
-        thread_.join();
-        close(listener_);
-    }
+        : thread_([this, start = std::move(start), piece = std::move(piece)] {
+              send_all(listener_.accept_connection(), start, piece);
+          }) {}
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    std::string address() const { return listener_.address(); }
     bool closed_by_client() const { return closed_by_client_; }
     bool ended() const { return ended_; }
 
@@ -65,11 +44,10 @@
         ended_ = true;
     }
 
-    int listener_;
-    std::uint16_t port_ = 0;
+    testing_support::listening_socket listener_;
     std::atomic<bool> closed_by_client_ = false;
     std::atomic<bool> ended_ = false;
-    std::thread thread_;
+    std::jthread thread_;
 };
 
 struct pool_fixture {
