--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,7 +13,7 @@
 build standin-store test/users_platform/store.cpp test/standins/json_server.cpp &
 build standin-routed-server test/users_platform/routed_server.cpp \
     test/standins/json_server.cpp &
-for source in review/*/case.cpp; do
+for source in review/*/program.cpp; do
     number=$(basename "$(dirname "$source")")
     if ((number >= 6 && number <= 10)); then
         build "case-$number" "$source" &
--- a/review/stand-ins-2/lab.hpp
+++ b/review/stand-ins-2/lab.hpp
@@ -2,6 +2,7 @@
 #define LACEWINGBEAM_REVIEW_LAB_HPP
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -238,12 +240,158 @@
     return caller.receive(quiet, is_whole_response);
 }
 
+// A proxy in front of a server. It resets the connections of cut sources, open
+// ones and new ones.
+class resetting_proxy {
+public:
+    explicit resetting_proxy(const std::string& target)
+        : target_(target),
+          listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        if (bind(listener_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+            listen(listener_, 256) != 0 ||
+            getsockname(listener_, reinterpret_cast<sockaddr*>(&address),
+                        &size) != 0) {
+            throw std::runtime_error("a proxy cannot listen");
+        }
+        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        thread_ = std::thread([this] { run(); });
+    }
+    resetting_proxy(const resetting_proxy&) = delete;
+    resetting_proxy& operator=(const resetting_proxy&) = delete;
+    ~resetting_proxy() { stop(); }
+
+    const std::string& address() const { return address_; }
+
+    void cut(const std::string& source) {
+        const std::lock_guard lock(mutex_);
+        cut_ = source;
+    }
+    void heal() { cut({}); }
+
+    // Stops to listen, so that the port refuses.
+    void stop() {
+        if (!stopped_.exchange(true)) {
+            thread_.join();
+            for (auto& each : pairs_) {
+                end(each, true);
+            }
+            close(listener_);
+        }
+    }
+
+private:
+    struct pair {
+        std::string source;
+        int client = -1;
+        int server = -1;
+    };
+
+    static void end(const pair& item, bool reset) {
+        const linger at_once{1, 0};
+        if (reset) {
+            setsockopt(item.client, SOL_SOCKET, SO_LINGER, &at_once,
+                       sizeof at_once);
+        }
+        close(item.client);
+        close(item.server);
+    }
+
+    void accept_one() {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        pair item;
+        item.client = accept4(listener_, reinterpret_cast<sockaddr*>(&from),
+                              &size, SOCK_CLOEXEC);
+        if (item.client < 0) {
+            return;
+        }
+        char text[INET_ADDRSTRLEN] = {};
+        inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
+        item.source = text;
+        item.server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in to{};
+        const auto colon = target_.rfind(':');
+        to.sin_family = AF_INET;
+        to.sin_port = htons(
+            static_cast<std::uint16_t>(std::stoi(target_.substr(colon + 1))));
+        inet_pton(AF_INET, target_.substr(0, colon).c_str(), &to.sin_addr);
+        if (connect(item.server, reinterpret_cast<sockaddr*>(&to), sizeof to) !=
+            0) {
+            end(item, true);
+            return;
+        }
+        pairs_.push_back(item);
+    }
+
+    // Returns false once either side has closed.
+    static bool forward(int from, int to) {
+        char buffer[65536];
+        const auto size = recv(from, buffer, sizeof buffer, 0);
+        return size > 0 && ::send(to, buffer, static_cast<std::size_t>(size),
+                                  MSG_NOSIGNAL) == size;
+    }
+
+    void run() {
+        while (!stopped_) {
+            std::string cut;
+            {
+                const std::lock_guard lock(mutex_);
+                cut = cut_;
+            }
+            std::erase_if(pairs_, [&](const pair& item) {
+                const bool is_cut = !cut.empty() && item.source == cut;
+                if (is_cut) {
+                    end(item, true);
+                }
+                return is_cut;
+            });
+            std::vector<pollfd> items{{listener_, POLLIN, 0}};
+            for (const auto& each : pairs_) {
+                items.push_back({each.client, POLLIN, 0});
+                items.push_back({each.server, POLLIN, 0});
+            }
+            if (poll(items.data(), items.size(), 5) <= 0) {
+                continue;
+            }
+            for (std::size_t i = pairs_.size(); i-- > 0;) {
+                const auto& each = pairs_[i];
+                const bool open = (items[1 + 2 * i].revents == 0 ||
+                                   forward(each.client, each.server)) &&
+                                  (items[2 + 2 * i].revents == 0 ||
+                                   forward(each.server, each.client));
+                if (!open) {
+                    end(each, false);
+                    pairs_.erase(pairs_.begin() +
+                                 static_cast<std::ptrdiff_t>(i));
+                }
+            }
+            if (items[0].revents != 0) {
+                accept_one();
+            }
+        }
+    }
+
+    std::string target_;
+    int listener_;
+    std::string address_;
+    std::mutex mutex_;
+    std::string cut_;
+    std::atomic<bool> stopped_ = false;
+    std::vector<pair> pairs_;
+    std::thread thread_;
+};
+
 struct router {
     std::string name;
     std::string front;
     std::string ready;
     std::string control;
     std::string metrics;
+    std::string source; // of its connections to servers, if it is set
     std::string settings;
     std::string log;
     std::unique_ptr<child> process;
@@ -326,8 +474,15 @@
         store_address = address_in(log);
     }
 
+    // `registered` is the address in the registration; empty: the server's own.
     server& add_server(const std::string& service, const std::string& id,
-                       int slots) {
+                       int slots, const std::string& registered = {}) {
+        auto& created = start_server(id, slots);
+        register_server(service, created, slots, registered);
+        return created;
+    }
+
+    server& start_server(const std::string& id, int slots) {
         auto created = std::make_unique<server>();
         created->id = id;
         created->log = (files_ / (id + ".log")).string();
@@ -336,9 +491,25 @@
                                      "-s", std::to_string(slots)},
             created->log);
         created->address = address_in(created->log);
-        put("servers", id,
+        servers.push_back(std::move(created));
+        return *servers.back();
+    }
+
+    // Starts a server that has ended once more, at its address.
+    void start_again(server& item, int slots) const {
+        const auto port = item.address.substr(item.address.rfind(':') + 1);
+        item.process = std::make_unique<child>(
+            std::vector<std::string>{program("standin-routed-server"), "-i",
+                                     item.id, "-s", std::to_string(slots), "-p",
+                                     port},
+            item.log);
+    }
+
+    void register_server(const std::string& service, const server& item,
+                         int slots, const std::string& registered = {}) {
+        put("servers", item.id,
             json{{"service", service},
-                 {"addr", created->address},
+                 {"addr", registered.empty() ? item.address : registered},
                  {"zone", "a"},
                  {"version", "v1"},
                  {"capacity", slots},
@@ -347,8 +518,6 @@
                  {"sequence", 1},
                  {"born", 1700000000000}}
                 .dump());
-        servers.push_back(std::move(created));
-        return *servers.back();
     }
 
     void put(const std::string& table, const std::string& key,
@@ -411,8 +580,10 @@
     }
 
     // Writes the settings of `count` routers, as the platform does from the
-    // template of the deploy file, and starts them.
-    void start_routers(int count) {
+    // template of the deploy file, and starts them. With `own_sources`, router
+    // i connects to servers from 127.0.1.(10 + i), so that a proxy can tell the
+    // routers apart.
+    void start_routers(int count, bool own_sources = false) {
         for (int i = 0; i < count; ++i) {
             auto created = std::make_unique<router>();
             created->name = "router" + std::to_string(i);
@@ -420,6 +591,7 @@
             created->ready = free_address();
             created->control = free_address();
             created->metrics = free_address();
+            created->source = "127.0.1." + std::to_string(10 + i);
             created->log = (files_ / (created->name + ".log")).string();
             created->settings = (files_ / (created->name + ".ini")).string();
             routers.push_back(std::move(created));
@@ -452,6 +624,10 @@
                     text.replace(at, name.size(), value);
                 }
             }
+            if (own_sources) {
+                text.replace(text.find("[router]"), 8,
+                             "[router]\nsource_ip = " + item->source);
+            }
             std::ofstream(item->settings) << text;
             start(*item);
         }
