--- a/review/stand-ins-2/lab.hpp
+++ b/review/stand-ins-2/lab.hpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <linux/filter.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -240,11 +241,12 @@
     return caller.receive(quiet, is_whole_response);
 }
 
-// A proxy in front of a server. It resets the connections of cut sources, open
-// ones and new ones.
-class resetting_proxy {
+// A proxy in front of a server. It drops all packets of one source, so that its
+// open connections are silent and new ones get no answer, and resets the
+// connections of another, open ones and new ones.
+class cutting_proxy {
 public:
-    explicit resetting_proxy(const std::string& target)
+    explicit cutting_proxy(const std::string& target)
         : target_(target),
           listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         sockaddr_in address{};
@@ -260,27 +262,24 @@
         address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
         thread_ = std::thread([this] { run(); });
     }
-    resetting_proxy(const resetting_proxy&) = delete;
-    resetting_proxy& operator=(const resetting_proxy&) = delete;
-    ~resetting_proxy() { stop(); }
+    cutting_proxy(const cutting_proxy&) = delete;
+    cutting_proxy& operator=(const cutting_proxy&) = delete;
+    ~cutting_proxy() {
+        stopped_ = true;
+        thread_.join();
+        for (const auto& each : pairs_) {
+            end(each);
+        }
+        close(listener_);
+    }
 
     const std::string& address() const { return address_; }
 
-    void cut(const std::string& source) {
+    void cut(const std::string& silent_source,
+             const std::string& reset_source) {
         const std::lock_guard lock(mutex_);
-        cut_ = source;
-    }
-    void heal() { cut({}); }
-
-    // Stops to listen, so that the port refuses.
-    void stop() {
-        if (!stopped_.exchange(true)) {
-            thread_.join();
-            for (auto& each : pairs_) {
-                end(each, true);
-            }
-            close(listener_);
-        }
+        cut_ = silent_source;
+        reset_ = reset_source;
     }
 
 private:
@@ -288,18 +287,32 @@
         std::string source;
         int client = -1;
         int server = -1;
+        bool dropped = false;
     };
 
-    static void end(const pair& item, bool reset) {
-        const linger at_once{1, 0};
-        if (reset) {
-            setsockopt(item.client, SOL_SOCKET, SO_LINGER, &at_once,
-                       sizeof at_once);
-        }
+    static void end(const pair& item) {
         close(item.client);
         close(item.server);
     }
 
+    // Drops the packets of a source that arrive for the proxy's own socket.
+    static void drop_packets(int fd, const std::string& source) {
+        in_addr address{};
+        inet_pton(AF_INET, source.c_str(), &address);
+        constexpr unsigned source_at = 12; // in the IP header
+        sock_filter code[] = {
+            BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+                     static_cast<unsigned>(SKF_NET_OFF) + source_at),
+            BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(address.s_addr), 0, 1),
+            BPF_STMT(BPF_RET | BPF_K, 0),
+            BPF_STMT(BPF_RET | BPF_K, 0xffffffff)};
+        const sock_fprog program{4, code};
+        if (setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                       sizeof program) != 0) {
+            throw std::runtime_error("a proxy cannot drop packets");
+        }
+    }
+
     void accept_one() {
         sockaddr_in from{};
         socklen_t size = sizeof from;
@@ -321,7 +334,7 @@
         inet_pton(AF_INET, target_.substr(0, colon).c_str(), &to.sin_addr);
         if (connect(item.server, reinterpret_cast<sockaddr*>(&to), sizeof to) !=
             0) {
-            end(item, true);
+            end(item);
             return;
         }
         pairs_.push_back(item);
@@ -335,20 +348,36 @@
                                   MSG_NOSIGNAL) == size;
     }
 
+    void apply_cut() {
+        const std::lock_guard lock(mutex_);
+        if (cut_.empty()) {
+            return;
+        }
+        if (!listener_drops_) {
+            listener_drops_ = true;
+            drop_packets(listener_, cut_);
+        }
+        for (auto& each : pairs_) {
+            if (each.source == cut_ && !each.dropped) {
+                each.dropped = true;
+                drop_packets(each.client, cut_);
+            }
+        }
+        std::erase_if(pairs_, [this](const pair& item) {
+            const bool is_reset = item.source == reset_;
+            if (is_reset) {
+                const linger at_once{1, 0};
+                setsockopt(item.client, SOL_SOCKET, SO_LINGER, &at_once,
+                           sizeof at_once);
+                end(item);
+            }
+            return is_reset;
+        });
+    }
+
     void run() {
         while (!stopped_) {
-            std::string cut;
-            {
-                const std::lock_guard lock(mutex_);
-                cut = cut_;
-            }
-            std::erase_if(pairs_, [&](const pair& item) {
-                const bool is_cut = !cut.empty() && item.source == cut;
-                if (is_cut) {
-                    end(item, true);
-                }
-                return is_cut;
-            });
+            apply_cut();
             std::vector<pollfd> items{{listener_, POLLIN, 0}};
             for (const auto& each : pairs_) {
                 items.push_back({each.client, POLLIN, 0});
@@ -364,7 +393,7 @@
                                   (items[2 + 2 * i].revents == 0 ||
                                    forward(each.server, each.client));
                 if (!open) {
-                    end(each, false);
+                    end(each);
                     pairs_.erase(pairs_.begin() +
                                  static_cast<std::ptrdiff_t>(i));
                 }
@@ -380,6 +409,8 @@
     std::string address_;
     std::mutex mutex_;
     std::string cut_;
+    std::string reset_;
+    bool listener_drops_ = false;
     std::atomic<bool> stopped_ = false;
     std::vector<pair> pairs_;
     std::thread thread_;
