--- a/review/stand-ins-2/lab.hpp
+++ b/review/stand-ins-2/lab.hpp
@@ -490,12 +490,9 @@
     void note(const std::string& text) {
         const auto at = std::chrono::duration_cast<milliseconds>(
             clock_type::now() - started_);
-        std::ostringstream line;
-        line.setf(std::ios::fixed);
-        line.precision(3);
-        line << static_cast<double>(at.count()) / 1000 << " " << text;
-        record_ << line.str() << std::endl;
-        std::cout << line.str() << std::endl;
+        const auto line = std::to_string(at.count()) + " ms: " + text;
+        record_ << line << std::endl;
+        std::cout << line << std::endl;
     }
 
     void start_store() {
