--- a/review/stand-ins-2/lab.hpp
+++ b/review/stand-ins-2/lab.hpp
@@ -381,7 +381,7 @@
                              {"metadata", json::object()},
                              {"spec",
                               {{"maxHeaderBytes", 16384},
-                               {"maxBodyBytes", 1048576},
+                               {"maxBodyBytes", max_body_bytes},
                                {"headerTimeoutMs", 3000},
                                {"idleTimeoutMs", 15000}}}});
         std::map<std::string, bool> known;
@@ -483,6 +483,9 @@
         }
     }
 
+    // As in the users' examples of messages (fleetbench wire).
+    static constexpr int max_body_bytes = 67108864;
+
     std::string store_address;
     std::vector<std::unique_ptr<server>> servers;
     std::vector<std::unique_ptr<router>> routers;
